--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,746 @@
+// Package route decides what becomes of every command.
+//
+// A protocol makes an instance with New, hands each part its values (state.go), calls Start, and
+// then calls one method here for each thing that happens: ListBegins/ListNode/ListEnds, Arrive,
+// Seen, Reported..., Result, Probed, Gone, Timer, Note. The module acts through Actions (iface.go)
+// and knows nothing else. A command passes the stages of Router.chain downwards; what comes back
+// passes them upwards. DESIGN rules the ordinary path; each exception states its condition.
+package route
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"sort"
+)
+
+const (
+	sweepEvery    = 20_000  // us; the module's own beat: far under any response target
+	rotationLag   = 2e6     // us; the design's bound past which a replica leaves rotation
+	holdShare     = 0.25    // of a command group's timeout; the design's "small part" of a read's time
+	probeGap      = 30_000  // us between probes for held reads; the design's "few tens of milliseconds"
+	askGap        = 50_000  // us between asks for an unknown primary: one at a time, yet soon through a group
+	rejoinGap     = 500_000 // us between probes or trial commands of a node out of favour: under 1% of its work
+	suspectProbe  = 250_000 // us between probes of a silent node: about a connect time-out
+	silenceTimes  = 4.0     // times a usual response; exponential work stays under it in 98 of 100 cases
+	silenceLeast  = 250_000 // us; shorter silences are pauses that end before a move would help
+	usualPart     = 0.25    // of the target: response time supposed before any is seen
+	usualGain     = 0.02    // smoothing of a group's usual response, ~50 answers
+	nodeGain      = 0.1     // smoothing of a node's figures, ~10 answers
+	errGain       = 0.15    // smoothing of a node's error share, ~7 answers
+	errsBad       = 0.3     // error share that puts a node out of favour: far over chance, under a real fault
+	firstLimit    = 6.0     // commands in flight at a node not yet known: a few for each small machine
+	leastLimit    = 1.0     // a node in favour always gets one
+	mostLimit     = 200.0   // keeps a limit that was never reached from running away
+	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
+	limitCut      = 0.6     // limit lost by a late answer: six to one lets about one in seven be late
+	lateAt        = 0.6     // of the target: a response past it counts as late for the limit
+	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
+	equalSlack    = 1.15    // expected responses within 15% count as equal
+	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
+	coldPart      = 0.9     // of the warm rate scaled by warmth: all routers together stay under once
+	coldBurst     = 2.0     // usual commands that a cold node may be owed at once
+	coldUnknown   = 1.0     // usual commands a second to a cold node with no warm peer to go by
+	rateSpan      = 2e6     // us over which a node's sent work is averaged
+	listDoubt     = 5e6     // us for which an answer's role outweighs a late list
+	tokenMost     = 50_000  // sessions remembered in each of two generations
+	deadlineGuard = 10_000  // us before the client timeout at which a held command is answered
+)
+
+type verdict uint8
+
+const (
+	pass verdict = iota
+	keep
+	end
+)
+
+type stage struct {
+	down func(*cmd, int64) verdict
+	up   func(c *cmd, n int, o Outcome, took, now int64)
+}
+
+// Start begins the instance's work.
+func (r *Router) Start(now int64) {
+	r.chain = []stage{
+		{r.expire, r.settle},
+		{r.admit, nil},
+		{r.demand, r.remember},
+		{r.lead, r.follow},
+		{r.pick, r.judge},
+		{r.send, r.land},
+	}
+	for g := range r.group.usual {
+		r.group.usual[g] = usualPart * float64(r.group.targets[g])
+	}
+	r.act.Timer(sweepEvery, 0)
+}
+
+// chance draws a number below n.
+func (r *Router) chance(n int) int {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], r.seed)
+	binary.LittleEndian.PutUint64(b[8:], r.draw)
+	r.draw++
+	return int(crc32.ChecksumIEEE(b[:]) % uint32(n))
+}
+
+// ---- the node list ----
+
+// ListBegins starts a list; a full one drops the nodes that it does not name.
+func (r *Router) ListBegins(_ int64, full bool) {
+	r.full = full
+	for n := range r.node.listed {
+		r.node.listed[n] = false
+	}
+}
+
+// ListNode is one entry of the list.
+func (r *Router) ListNode(now int64, id, zone, kind string, wire int, state State, lead bool, weight float64,
+	started int64) {
+	s := &r.node
+	n, known := s.index[id]
+	if !known {
+		sh, seen := r.shard.number[wire]
+		if !seen {
+			sh = r.shard.add(wire)
+			r.shard.turn[sh] = r.chance(1 << 16)
+		}
+		n = s.add(id)
+		s.shard[n], s.limit[n] = sh, firstLimit
+		r.shard.members[sh] = append(r.shard.members[sh], n)
+	}
+	if started != s.started[n] {
+		s.started[n], s.credit[n], s.creditAt[n] = started, 0, now
+		s.suspect[n], s.errs[n], s.limit[n] = false, 0, firstLimit
+		if known && s.role[n] == Primary {
+			r.told(n, Replica, now) // a process that started anew leads nothing it led before
+		}
+	}
+	newLead := lead && (!s.lead[n] || !known)
+	s.zone[n], s.kind[n], s.state[n], s.listed[n], s.weight[n], s.lead[n] = zone, kind, state, true, weight, lead
+	// The list's mark counts where nothing newer was heard: at the start, or on its change.
+	sh := s.shard[n]
+	p := r.shard.primary[sh]
+	doubted := s.role[n] == Replica && now-s.roleAt[n] < listDoubt
+	if newLead && !doubted && (p < 0 || s.roleAt[p] == 0 || now-s.roleAt[p] > listDoubt || s.suspect[p]) {
+		r.shard.primary[sh] = n
+	}
+}
+
+// ListEnds ends a list.
+func (r *Router) ListEnds(now int64) {
+	for n := range r.node.listed {
+		if r.full && !r.node.listed[n] {
+			r.node.state[n] = Removed
+		}
+	}
+	for sh := range r.shard.members {
+		r.pump(sh, now)
+	}
+}
+
+// ---- what nodes tell ----
+
+// Seen is a node's role and position in an answer; 0 for a position that it does not tell.
+func (r *Router) Seen(now int64, id string, took int64, role Role, pos int64) {
+	n, known := r.node.index[id]
+	if !known || role == RoleUnknown {
+		return
+	}
+	r.told(n, role, now)
+	if role == Primary { // it stood at the present when it answered, which is after it was sent to
+		pos = max(pos, now-took)
+	}
+	r.proven(n, pos, now)
+}
+
+// ReportedPosition is a position from a node's report, as old as the report.
+func (r *Router) ReportedPosition(now int64, id string, pos int64) {
+	if n, known := r.node.index[id]; known {
+		r.proven(n, pos, now)
+	}
+}
+
+// ReportedRole is a role from a node's report; an answer's own role is newer.
+func (r *Router) ReportedRole(now int64, id string, lead bool) {
+	n, known := r.node.index[id]
+	if !known || now-r.node.roleAt[n] < listDoubt/5 {
+		return
+	}
+	if lead {
+		r.told(n, Primary, now)
+	} else if r.shard.primary[r.node.shard[n]] == n {
+		r.told(n, Replica, now)
+	}
+}
+
+// ReportedHeld is how many commands a node says it holds.
+func (r *Router) ReportedHeld(_ int64, _ string, _ float64) {}
+
+// told moves the belief in a group's primary.
+func (r *Router) told(n int, role Role, now int64) {
+	s, sh := &r.node, r.node.shard[n]
+	s.role[n], s.roleAt[n] = role, now
+	switch {
+	case role == Primary:
+		r.shard.headAt[sh] = now
+		if p := r.shard.primary[sh]; p != n {
+			r.shard.primary[sh] = n
+			s.lag[n] = 0
+			if p >= 0 {
+				s.role[p] = Replica
+				r.recall(p, now)
+			}
+		}
+	case r.shard.primary[sh] == n:
+		r.shard.primary[sh] = -1
+	}
+}
+
+// proven raises a node's position and measures its lag behind the primary, while there is one.
+func (r *Router) proven(n int, pos, now int64) {
+	s := &r.node
+	if pos <= 0 {
+		return
+	}
+	s.pos[n], s.posAt[n] = max(s.pos[n], pos), now
+	head := now
+	if sh := s.shard[n]; now-r.shard.headAt[sh] > silenceLeast {
+		head = max(r.shard.headAt[sh], s.pos[n]) // no primary heard of: positions stand still, none lags
+	}
+	s.lag[n] = max(0, head-s.pos[n])
+}
+
+// ---- commands ----
+
+// Arrive takes a command; the router owes it one final answer from here on.
+func (r *Router) Arrive(now int64, id string, group, tenant int, session string, left int64, wire int,
+	sinceWrite int64, again bool) {
+	g := &r.group
+	sh, known := r.shard.number[wire]
+	if !known {
+		sh = r.shard.add(wire)
+	}
+	c := &cmd{id: id, group: group, tenant: tenant, shard: sh, session: session, arrived: now, again: again,
+		deadline: now + left, target: now + g.targets[group], to: -1}
+	if g.level[group] == Session && r.carried && sinceWrite > 0 {
+		c.need = now - sinceWrite
+	}
+	c.holdUntil = c.deadline - deadlineGuard
+	if g.level[group] != Write {
+		c.holdUntil = min(c.holdUntil, now+int64(holdShare*float64(g.timeout[group])),
+			c.target-int64(g.usual[group]))
+	}
+	r.cmds[id] = c
+	r.down(c, now)
+}
+
+// down takes a command through the chain; a kept one waits, in order of value and age.
+func (r *Router) down(c *cmd, now int64) verdict {
+	for _, st := range r.chain {
+		switch v := st.down(c, now); v {
+		case keep:
+			if !c.held {
+				c.held = true
+				w := r.shard.waiting[c.shard]
+				i := sort.Search(len(w), func(i int) bool {
+					return w[i].value < c.value || w[i].value == c.value && w[i].arrived > c.arrived
+				})
+				w = append(w, nil)
+				copy(w[i+1:], w[i:])
+				w[i] = c
+				r.shard.waiting[c.shard] = w
+			}
+			return keep
+		case end:
+			return end
+		}
+	}
+	return pass
+}
+
+// pump tries the waiting commands of a group again, in their order.
+func (r *Router) pump(sh int, now int64) {
+	w := r.shard.waiting[sh]
+	if len(w) == 0 {
+		return
+	}
+	r.shard.waiting[sh] = nil
+	rest := w[:0]
+	for _, c := range w {
+		if c.done || r.down(c, now) != keep {
+			c.held = false
+			continue
+		}
+		rest = append(rest, c)
+	}
+	for _, c := range r.shard.waiting[sh] { // newly held meanwhile
+		rest = append(rest, c)
+	}
+	r.shard.waiting[sh] = rest
+}
+
+// finish closes a command; dispatches still out are called off.
+func (r *Router) finish(c *cmd) {
+	c.done = true
+	for n := range c.tries {
+		r.callOff(c, n)
+	}
+	if c.open == 0 {
+		delete(r.cmds, c.id)
+	}
+}
+
+func (r *Router) callOff(c *cmd, n int) {
+	if t := &c.tries[n]; r.withdraws && !t.ended && !t.withdrawn {
+		t.withdrawn = true
+		r.act.Withdraw(c.id, n)
+	}
+}
+
+// giveUp answers finally: throttled where a repeat does no harm, failed otherwise.
+func (r *Router) giveUp(c *cmd) {
+	effect, ran := r.group.effect[c.group], c.mayHaveRun || c.open > 0
+	if !ran || effect == Replayable || effect == Keyed && r.group.everywhere[c.group] {
+		r.act.Throttle(c.id, 0)
+	} else {
+		r.act.Fail(c.id)
+	}
+	r.finish(c)
+}
+
+// expire ends a command that can no longer be answered in time, or has waited its share.
+func (r *Router) expire(c *cmd, now int64) verdict {
+	if now >= c.holdUntil && len(c.tries) == 0 || now >= c.deadline-deadlineGuard ||
+		len(c.tries) >= r.maxDispatches {
+		r.giveUp(c)
+		return end
+	}
+	if r.group.effect[c.group] == Keyed && c.mayHaveRun && now-c.firstRun >= r.group.window[c.group]-r.tick {
+		r.giveUp(c)
+		return end
+	}
+	return pass
+}
+
+// settle decides, after a dispatch ended without an answer, whether there is another.
+func (r *Router) settle(c *cmd, n int, o Outcome, _, now int64) {
+	if c.done {
+		if c.open == 0 {
+			delete(r.cmds, c.id)
+		}
+		return
+	}
+	if !o.NeverRan() {
+		if sent := c.tries[n].sent; !c.mayHaveRun || sent < c.firstRun {
+			c.firstRun = sent
+		}
+		c.mayHaveRun = true
+	}
+	switch {
+	case c.open > 0 || c.held:
+	case c.mayHaveRun && r.group.effect[c.group] == Mutating, now >= c.deadline-deadlineGuard:
+		r.giveUp(c)
+	default:
+		r.down(c, now)
+	}
+}
+
+// admit sets a command's value: what lies over its tenant's share waits behind the rest.
+func (r *Router) admit(c *cmd, now int64) verdict {
+	if c.value > 0 {
+		return pass
+	}
+	t := &r.tenant
+	c.value = r.group.benefit[c.group]
+	if c.tenant >= 0 && c.tenant < len(t.quota) && t.quota[c.tenant] > 0 {
+		q := t.quota[c.tenant] / float64(r.siblings)
+		t.left[c.tenant] = min(q, t.left[c.tenant]+q*float64(now-t.leftAt[c.tenant])/1e6)
+		t.leftAt[c.tenant] = now
+		if t.left[c.tenant] < 1 {
+			c.value *= max(t.overWorth, 1e-3)
+		} else {
+			t.left[c.tenant]--
+		}
+	}
+	return pass
+}
+
+// demand sets the position that a session read needs.
+func (r *Router) demand(c *cmd, _ int64) verdict {
+	if r.group.level[c.group] == Session && !r.carried {
+		c.need = max(c.need, r.token.get(c.session))
+	}
+	return pass
+}
+
+// remember keeps a write's position as its session's token.
+func (r *Router) remember(c *cmd, n int, o Outcome, _, now int64) {
+	if o == Answered && r.group.level[c.group] == Write && !r.carried && c.session != "" {
+		r.token.put(c.session, r.node.pos[c.tries[n].node], tokenMost)
+	}
+}
+
+// serves tells whether a node may be sent anything now.
+func (r *Router) serves(n int, now int64) bool {
+	s := &r.node
+	if s.state[n] == Removed && r.droppedOpen || s.state[n] == Up {
+		return !s.suspect[n]
+	}
+	return false
+}
+
+// roomy tells whether a node may take one more: its limit, and what a cold one may be sent.
+func (r *Router) roomy(n int, share float64, work float64, now int64) bool {
+	s := &r.node
+	if float64(s.out[n])+1 > max(leastLimit, s.limit[n]*share) {
+		return false
+	}
+	if warmth := r.warmth(n, now); warmth < 1 {
+		r.refill(n, warmth, now)
+		return s.credit[n] >= work
+	}
+	return true
+}
+
+// warmth is the share of its capacity that a node has at least.
+func (r *Router) warmth(n int, now int64) float64 {
+	if s := r.node.started[n]; s > 0 && r.coldFor > 0 && now < s+r.coldFor {
+		return r.coldFrom + (1-r.coldFrom)*float64(max(0, now-s))/float64(r.coldFor)
+	}
+	return 1
+}
+
+// refill gives a cold node the part of a warm peer's work that its warmth allows. Guards rule four
+// against any mix of routers, for each sends a part of what it alone sends a warm peer.
+func (r *Router) refill(n int, warmth float64, now int64) {
+	s := &r.node
+	rate, peers := 0.0, 0
+	for m := range s.id {
+		if m != n && s.kind[m] == s.kind[n] && r.warmth(m, now) == 1 && s.state[m] == Up {
+			rate += r.rateOf(m, now)
+			peers++
+		}
+	}
+	allowed := coldUnknown / float64(r.siblings)
+	if peers > 0 {
+		allowed = max(allowed, coldPart*warmth*rate/float64(peers))
+	}
+	s.credit[n] = min(coldBurst, s.credit[n]+allowed*float64(now-s.creditAt[n])/1e6)
+	s.creditAt[n] = now
+}
+
+// rateOf is the work sent to a node a second, lately.
+func (r *Router) rateOf(n int, now int64) float64 {
+	s := &r.node
+	if gap := float64(now - s.rateAt[n]); gap > 0 {
+		s.rate[n] *= max(0, 1-gap/rateSpan)
+		s.rateAt[n] = now
+	}
+	return s.rate[n]
+}
+
+// lead sends writes and reads that must be current to the believed primary, or keeps them for one.
+func (r *Router) lead(c *cmd, now int64) verdict {
+	if lv := r.group.level[c.group]; lv != Write && lv != Fresh {
+		return pass
+	}
+	p := r.shard.primary[c.shard]
+	if p >= 0 && r.serves(p, now) && r.roomy(p, 1, 1, now) {
+		c.to = p
+		return pass
+	}
+	if p >= 0 && r.serves(p, now) {
+		return keep
+	}
+	c.to = -1
+	if r.group.level[c.group] == Write && r.ask(c.shard, now) {
+		// No primary known: this write itself asks a member that answers; a miss leaves it untouched.
+		if n := r.shard.asked[c.shard]; n != p && r.serves(n, now) && r.roomy(n, 1, 1, now) &&
+			2*len(c.tries) < r.maxDispatches && now-r.node.answered[n] < listDoubt {
+			c.to = n
+			return pass
+		}
+	}
+	return keep
+}
+
+// ask takes the next turn at asking a group's members for the primary.
+func (r *Router) ask(sh int, now int64) bool {
+	m := r.shard.members[sh]
+	if len(m) == 0 || now-r.shard.askedAt[sh] < askGap {
+		return false
+	}
+	r.shard.askedAt[sh] = now
+	r.shard.turn[sh]++
+	n := m[r.shard.turn[sh]%len(m)]
+	r.shard.asked[sh] = n
+	if r.probeRole {
+		r.probe(n, now)
+		return false
+	}
+	return true
+}
+
+func (r *Router) probe(n int, now int64) {
+	if s := &r.node; r.probes && !s.probing[n] && (s.state[n] == Up || r.droppedOpen && s.state[n] == Removed) {
+		s.probing[n], s.probedAt[n] = true, now
+		r.act.Probe(s.id[n])
+	}
+}
+
+// follow moves the belief on a miss: that node leads no longer.
+func (r *Router) follow(c *cmd, n int, o Outcome, _, now int64) {
+	if o == Missed && r.group.level[c.group] == Write {
+		r.told(c.tries[n].node, Replica, now)
+	}
+}
+
+// fresh tells whether a node's proven position will do for a command.
+func (r *Router) fresh(n int, c *cmd, now int64) bool {
+	s := &r.node
+	if s.role[n] == Primary && r.shard.primary[c.shard] == n {
+		return true
+	}
+	switch r.group.level[c.group] {
+	case Any:
+		return true
+	case Session:
+		return c.need == 0 || s.pos[n] >= c.need
+	case Bounded:
+		return s.pos[n] >= now-r.group.bound[c.group]
+	}
+	return false
+}
+
+// pick chooses a read's member: a proven replica in rotation, own zone first, rotating among equals.
+// Exception: where none has room or can be proven in the read's time, the primary takes it, as far
+// as its limit leaves room after its writes.
+func (r *Router) pick(c *cmd, now int64) verdict {
+	if lv := r.group.level[c.group]; lv == Write || lv == Fresh {
+		return pass
+	}
+	s, m := &r.node, r.shard.members[c.shard]
+	p := r.shard.primary[c.shard]
+	r.shard.turn[c.shard]++
+	turn := r.shard.turn[c.shard]
+	best, cost, proven := -1, 0.0, false
+	for i := range m {
+		n := m[(turn+i)%len(m)]
+		if n == p || !r.serves(n, now) {
+			continue
+		}
+		ok := r.fresh(n, c, now)
+		if s.lag[n] > rotationLag || s.errs[n] > errsBad {
+			if !ok || now-s.triedAt[n] < rejoinGap || s.out[n] > 0 {
+				continue
+			}
+			s.triedAt[n] = now // the trickle that lets a node back
+			best, proven = n, true
+			break
+		}
+		if !ok {
+			continue
+		}
+		proven = true
+		if !r.roomy(n, 1, 1, now) || c.tried(n) {
+			continue
+		}
+		v := s.slow[n] * (1 + float64(s.out[n])) / (1 + s.usualOut[n])
+		if s.zone[n] != r.zone {
+			v *= zoneSlack
+		}
+		if best < 0 || v*equalSlack < cost {
+			best, cost = n, v
+		}
+	}
+	if best < 0 && p >= 0 && r.serves(p, now) && r.fresh(p, c, now) && r.roomy(p, spareShare, 1, now) &&
+		(proven || now >= c.holdUntil-2*sweepEvery || r.pointless(c)) {
+		best = p
+	}
+	if best < 0 {
+		if !proven {
+			r.seek(c, now)
+		}
+		return keep
+	}
+	c.to = best
+	return pass
+}
+
+func (c *cmd) tried(n int) bool {
+	for _, t := range c.tries {
+		if t.node == n {
+			return true
+		}
+	}
+	return false
+}
+
+// pointless tells whether no replica can be expected at the position in the read's holding time.
+func (r *Router) pointless(c *cmd) bool {
+	for _, n := range r.shard.members[c.shard] {
+		if r.node.state[n] == Up && !r.node.suspect[n] && n != r.shard.primary[c.shard] &&
+			c.need+r.node.lag[n] < c.holdUntil {
+			return false
+		}
+	}
+	return true
+}
+
+// seek probes the likeliest replica for a held read.
+func (r *Router) seek(c *cmd, now int64) {
+	s, best := &r.node, -1
+	if !r.probePos {
+		return
+	}
+	for _, n := range r.shard.members[c.shard] {
+		if n == r.shard.primary[c.shard] || !r.serves(n, now) || now-s.probedAt[n] < probeGap || s.probing[n] {
+			continue
+		}
+		if best < 0 || s.lag[n] < s.lag[best] {
+			best = n
+		}
+	}
+	if best >= 0 {
+		r.probe(best, now)
+	}
+}
+
+// send dispatches.
+func (r *Router) send(c *cmd, now int64) verdict {
+	s, n := &r.node, c.to
+	c.tries = append(c.tries, try{node: n, sent: now})
+	c.open++
+	s.out[n]++
+	s.open[n] = append(s.open[n], openTry{c, len(c.tries) - 1})
+	s.usualOut[n] += nodeGain * (float64(s.out[n]-1) - s.usualOut[n])
+	r.rateOf(n, now)
+	s.rate[n] += 1e6 / rateSpan
+	if r.warmth(n, now) < 1 {
+		s.credit[n]--
+	}
+	r.act.Dispatch(c.id, s.id[n], 0)
+	return pass
+}
+
+// land closes a dispatch at its node.
+func (r *Router) land(c *cmd, n int, _ Outcome, _, _ int64) {
+	c.tries[n].ended = true
+	c.open--
+	r.node.close(c, n)
+}
+
+// judge learns a node's pace, errors and limit from how a dispatch ended.
+func (r *Router) judge(c *cmd, n int, o Outcome, took, now int64) {
+	s, g, at := &r.node, &r.group, c.tries[n].node
+	if o == Answered || o == Errored || o == Missed || o == Full {
+		s.answered[at], s.suspect[at] = now, false
+	}
+	switch o {
+	case Answered:
+		g.samples[c.group]++
+		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+4)) * (float64(took) - g.usual[c.group])
+		s.slow[at] += nodeGain * (min(10, float64(took)/g.usual[c.group]) - s.slow[at])
+		s.errs[at] -= errGain * s.errs[at]
+		if float64(took) > lateAt*float64(g.targets[c.group]) {
+			s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
+		} else if float64(s.out[at])+1 > 0.7*s.limit[at] {
+			s.limit[at] += limitGrow
+			if s.slowStart[at] {
+				s.limit[at] += 4 * limitGrow
+			}
+		}
+	case Errored, Broken:
+		s.errs[at] += errGain * (1 - s.errs[at])
+	case Full:
+		s.limit[at], s.slowStart[at] = s.limit[at]*0.7, false
+	case Unconnected:
+		s.suspect[at] = true
+	}
+	s.limit[at] = min(mostLimit, max(leastLimit, s.limit[at]))
+}
+
+// Result is how a dispatch ended; it runs through the chain upwards.
+func (r *Router) Result(now int64, id, _ string, n int, o Outcome, took int64, final bool) {
+	c := r.cmds[id]
+	if c == nil || n < 0 || n >= len(c.tries) || c.tries[n].ended {
+		return
+	}
+	if final && !c.done {
+		c.done = true
+	}
+	for i := len(r.chain) - 1; i >= 0; i-- {
+		if r.chain[i].up != nil {
+			r.chain[i].up(c, n, o, took, now)
+		}
+	}
+	if c.done {
+		r.finish(c)
+	}
+	r.pump(c.shard, now)
+}
+
+// Gone ends a command whose client left.
+func (r *Router) Gone(_ int64, id string) {
+	if c := r.cmds[id]; c != nil && !c.done {
+		r.finish(c)
+	}
+}
+
+// Probed is a probe's end.
+func (r *Router) Probed(now int64, id string, _ int64, o Outcome) {
+	n, known := r.node.index[id]
+	if !known {
+		return
+	}
+	r.node.probing[n] = false
+	if o == Answered && r.node.suspect[n] && r.node.out[n] == 0 {
+		r.node.suspect[n] = false
+	}
+	r.pump(r.node.shard[n], now)
+}
+
+// Timer is the module's beat: silence, waiting commands, probes.
+func (r *Router) Timer(now int64, _ uint64) {
+	s := &r.node
+	for n := range s.id {
+		r.listen(n, now)
+	}
+	for sh := range r.shard.members {
+		r.pump(sh, now)
+	}
+	r.act.Timer(sweepEvery, 0)
+}
+
+// listen watches one node. Silence: work out and nothing back for several usual response times.
+// Guards against hangs, deaths, cuts and long pauses; should a node be merely slow, its reads move
+// for nothing and it rests until it answers.
+func (r *Router) listen(n int, now int64) {
+	s := &r.node
+	if len(s.open[n]) > 0 && !s.suspect[n] {
+		first := s.open[n][0]
+		since := max(first.c.tries[first.n].sent, s.answered[n])
+		if float64(now-since) > max(silenceLeast, silenceTimes*r.group.usual[first.c.group]*max(1, s.slow[n])) {
+			s.suspect[n] = true
+			r.recall(n, now)
+		}
+	}
+	if s.suspect[n] && now-s.probedAt[n] > suspectProbe || s.lag[n] > rotationLag && r.probePos &&
+		now-s.probedAt[n] > rejoinGap {
+		r.probe(n, now)
+	}
+}
+
+// recall calls off what may be repeated from a node that is silent or leads no longer.
+func (r *Router) recall(n int, now int64) {
+	for _, o := range r.node.open[n] {
+		if r.group.effect[o.c.group] == Replayable && r.node.suspect[n] ||
+			r.group.effect[o.c.group] == Keyed && r.shard.primary[o.c.shard] != n {
+			r.callOff(o.c, o.n)
+		}
+	}
+}
+
+// Note is a peer's note; none is sent yet.
+func (r *Router) Note(_ int64, _ int, _ []byte) {}
--- /dev/null
+++ b/internal/route/state.go
@@ -0,0 +1,295 @@
+package route
+
+// cmd is one command that the router owes a final answer, or whose dispatches are still out after it.
+type cmd struct {
+	id                        string
+	group, tenant, shard      int
+	session                   string
+	arrived, target, deadline int64
+	holdUntil                 int64 // latest time at which it may still be waiting unsent
+	need                      int64 // position its data must have reached; 0 for none
+	value                     float64
+	to                        int // node chosen for the next dispatch
+	tries                     []try
+	open                      int
+	firstRun                  int64 // when the earliest dispatch that may have run was sent
+	mayHaveRun                bool
+	late, held, done, again   bool
+}
+
+// try is one dispatch of a command.
+type try struct {
+	node      int
+	sent      int64
+	ended     bool
+	withdrawn bool
+}
+
+// openTry names a dispatch that is out at a node.
+type openTry struct {
+	c *cmd
+	n int
+}
+
+// nodes holds the figures about nodes, in parallel arrays under one dense index.
+type nodes struct {
+	index     map[string]int
+	id        []string
+	zone      []string
+	kind      []string
+	shard     []int
+	state     []State
+	listed    []bool // named by the list being read
+	lead      []bool // marked primary by the list
+	weight    []float64
+	started   []int64 // last start, 0 for long ago
+	pos       []int64 // highest proven position
+	posAt     []int64 // when it was last told
+	lag       []int64
+	role      []Role
+	roleAt    []int64
+	out       []int
+	open      [][]openTry
+	limit     []float64
+	slowStart []bool
+	slow      []float64 // response time relative to the usual of the command's group
+	usualOut  []float64
+	errs      []float64
+	answered  []int64 // last sign of work done
+	suspect   []bool
+	triedAt   []int64 // last trickle dispatch to a node out of favour
+	probedAt  []int64
+	probing   []bool
+	rate      []float64 // work sent a second, in usual commands, lately
+	rateAt    []int64
+	credit    []float64 // work a cold node may still be sent
+	creditAt  []int64
+}
+
+func (s *nodes) add(id string) int {
+	n := len(s.id)
+	s.index[id] = n
+	s.id = append(s.id, id)
+	s.zone = append(s.zone, "")
+	s.kind = append(s.kind, "")
+	s.shard = append(s.shard, 0)
+	s.state = append(s.state, Up)
+	s.listed = append(s.listed, false)
+	s.lead = append(s.lead, false)
+	s.weight = append(s.weight, 1)
+	s.started = append(s.started, 0)
+	s.pos = append(s.pos, 0)
+	s.posAt = append(s.posAt, 0)
+	s.lag = append(s.lag, 0)
+	s.role = append(s.role, RoleUnknown)
+	s.roleAt = append(s.roleAt, 0)
+	s.out = append(s.out, 0)
+	s.open = append(s.open, nil)
+	s.limit = append(s.limit, 0)
+	s.slowStart = append(s.slowStart, true)
+	s.slow = append(s.slow, 1)
+	s.usualOut = append(s.usualOut, 0)
+	s.errs = append(s.errs, 0)
+	s.answered = append(s.answered, 0)
+	s.suspect = append(s.suspect, false)
+	s.triedAt = append(s.triedAt, 0)
+	s.probedAt = append(s.probedAt, 0)
+	s.probing = append(s.probing, false)
+	s.rate = append(s.rate, 0)
+	s.rateAt = append(s.rateAt, 0)
+	s.credit = append(s.credit, 0)
+	s.creditAt = append(s.creditAt, 0)
+	return n
+}
+
+// close forgets that a dispatch is out at its node.
+func (s *nodes) close(c *cmd, n int) {
+	at := c.tries[n].node
+	for i, o := range s.open[at] {
+		if o.c == c && o.n == n {
+			s.open[at] = append(s.open[at][:i], s.open[at][i+1:]...)
+			s.out[at]--
+			return
+		}
+	}
+}
+
+// groups holds what is known of each command group.
+type groups struct {
+	effect     []Effect
+	everywhere []bool // any node drops repeats, not only those of the same node group
+	level      []Read
+	bound      []int64
+	window     []int64
+	targets    []int64
+	timeout    []int64
+	benefit    []float64
+	lateWorth  []float64
+	usual      []float64 // usual response time
+	samples    []float64
+}
+
+// tenants holds each tenant's share of a second and what it has left of it.
+type tenants struct {
+	quota     []float64
+	left      []float64
+	leftAt    []int64
+	overWorth float64
+}
+
+// shards holds what is known of each node group.
+type shards struct {
+	number  map[int]int
+	members [][]int
+	primary []int   // believed primary, -1 for none
+	headAt  []int64 // when a primary last showed itself
+	askedAt []int64 // when a member was last asked for the primary
+	asked   []int   // whose turn it is to be asked
+	turn    []int   // rotation among equals
+	waiting [][]*cmd
+}
+
+func (s *shards) add(wire int) int {
+	n := len(s.members)
+	s.number[wire] = n
+	s.members = append(s.members, nil)
+	s.primary = append(s.primary, -1)
+	s.headAt = append(s.headAt, 0)
+	s.askedAt = append(s.askedAt, 0)
+	s.asked = append(s.asked, 0)
+	s.turn = append(s.turn, 0)
+	s.waiting = append(s.waiting, nil)
+	return n
+}
+
+// tokens remembers the position of each session's last write, in two generations; what falls out
+// of the older one is stood for by its highest position.
+type tokens struct {
+	young, old map[string]int64
+	floor      int64
+}
+
+func (t *tokens) put(session string, pos int64, most int) {
+	if t.young == nil || len(t.young) >= most {
+		for _, p := range t.old {
+			t.floor = max(t.floor, p)
+		}
+		t.old, t.young = t.young, make(map[string]int64)
+	}
+	t.young[session] = max(pos, t.young[session])
+}
+
+func (t *tokens) get(session string) int64 {
+	return max(t.floor, t.young[session], t.old[session])
+}
+
+// Router is one instance of the decision module.
+type Router struct {
+	act  Actions
+	seed uint64
+	draw uint64
+
+	zone         string
+	me, siblings int
+	tick         int64
+
+	node   nodes
+	group  groups
+	tenant tenants
+	shard  shards
+	token  tokens
+	cmds   map[string]*cmd
+
+	maxDispatches           int
+	secondCopies, withdraws bool
+	advice                  bool
+	maxAdvice               int64
+	probes                  bool
+	probePos, probeRole     bool
+	answerPos, carried      bool
+	unchecked               bool
+	catchUp                 int64
+	listRole                ListRole
+	coldFor                 int64
+	coldFrom, fallMultiple  float64
+	fallFor                 int64
+	drainGrace              int64
+	droppedOpen             bool
+	peers                   bool
+	full                    bool // the list being read is a full one
+	chain                   []stage
+}
+
+// New makes an instance; the calls below it hand each part its values before Start.
+func New(seed uint64, act Actions) *Router {
+	r := &Router{act: act, seed: seed, cmds: make(map[string]*cmd)}
+	r.node.index = make(map[string]int)
+	r.shard.number = make(map[int]int)
+	return r
+}
+
+// Place tells where the instance stands and how many of its kind there are.
+func (r *Router) Place(zone string, me, siblings int, tick int64) {
+	r.zone, r.me, r.siblings, r.tick = zone, me, max(siblings, 1), tick
+}
+
+// Group adds a command group; groups are numbered in this order.
+func (r *Router) Group(effect Effect, everywhere bool, level Read, bound, window, target, timeout int64,
+	benefit, lateWorth float64) {
+	g := &r.group
+	g.effect = append(g.effect, effect)
+	g.everywhere = append(g.everywhere, everywhere)
+	g.level = append(g.level, level)
+	g.bound = append(g.bound, bound)
+	g.window = append(g.window, window)
+	g.targets = append(g.targets, target)
+	g.timeout = append(g.timeout, timeout)
+	g.benefit = append(g.benefit, benefit)
+	g.lateWorth = append(g.lateWorth, lateWorth)
+	g.usual = append(g.usual, 0)
+	g.samples = append(g.samples, 0)
+}
+
+// Tenant adds a tenant with its commands a second across all routers; numbered in this order.
+func (r *Router) Tenant(quota float64) {
+	r.tenant.quota = append(r.tenant.quota, quota)
+	r.tenant.left = append(r.tenant.left, 0)
+	r.tenant.leftAt = append(r.tenant.leftAt, 0)
+}
+
+// Shares tells what a command over its tenant's share is worth.
+func (r *Router) Shares(overWorth float64) { r.tenant.overWorth = overWorth }
+
+// Dispatches tells how many dispatches a command may have and what may be done with them.
+func (r *Router) Dispatches(most int, secondCopies, withdraws bool) {
+	r.maxDispatches, r.secondCopies, r.withdraws = most, secondCopies, withdraws
+}
+
+// Throttles tells whether advice to come back later reaches clients, and how much of it.
+func (r *Router) Throttles(advice bool, most int64) { r.advice, r.maxAdvice = advice, most }
+
+// Probes tells whether nodes may be probed and what a probe shows.
+func (r *Router) Probes(allowed, position, role bool) {
+	r.probes, r.probePos, r.probeRole = allowed, position, role
+}
+
+// Positions tells where positions and tokens come from and whether nodes check them unasked.
+func (r *Router) Positions(inAnswers, carried, unchecked bool, catchUp int64) {
+	r.answerPos, r.carried, r.unchecked, r.catchUp = inAnswers, carried, unchecked, catchUp
+}
+
+// Roles tells what the list's primary mark is worth.
+func (r *Router) Roles(kind ListRole) { r.listRole = kind }
+
+// ColdStart tells how cold a node starts, for how long, and what pushes it over.
+func (r *Router) ColdStart(length int64, from, multiple float64, window int64) {
+	r.coldFor, r.coldFrom, r.fallMultiple, r.fallFor = length, from, multiple, window
+}
+
+// Drains tells the grace after which a leaving node gets nothing new.
+func (r *Router) Drains(grace int64, droppedOpen bool) {
+	r.drainGrace, r.droppedOpen = grace, droppedOpen
+}
+
+// Peers tells whether routers may send each other notes.
+func (r *Router) Peers(allowed bool) { r.peers = allowed }
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,506 @@
+// Package simwire speaks the bench's text dialect and hosts isolated instances of the decision module.
+// It is the only place where the bench's words occur; it decides nothing.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"cairntiller/internal/route"
+)
+
+const maxSheets = 16
+
+// host is one process: its instances, the numbered lists and the reply being written.
+type host struct {
+	routers map[string]*outlet
+	sheets  [maxSheets][][]byte
+	reply   []byte
+	fields  [][]byte
+	line    int
+	clock   int64
+}
+
+// outlet writes one instance's actions into the process's reply.
+type outlet struct {
+	h      *host
+	name   string
+	router *route.Router
+	dead   bool
+	zero   int64
+	groups map[string]int
+	teams  map[string]int
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	h := &host{routers: make(map[string]*outlet)}
+	r := bufio.NewReaderSize(in, 1<<20)
+	w := bufio.NewWriterSize(out, 1<<20)
+	open := false
+	var batch string
+	var long []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			long = append(long, part...)
+			continue
+		}
+		if len(long) > 0 {
+			long = append(long, part...)
+			part = long
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		if err != nil && len(part) == 0 {
+			if open {
+				return h.bad("eob", "input ends within a batch")
+			}
+			return nil
+		}
+		h.line++
+		text := bytes.TrimRight(part, "\r\n")
+		h.split(text)
+		switch {
+		case len(h.fields) == 0:
+			return h.bad("message", "empty line")
+		case !open:
+			if string(h.fields[0]) != "clock" || len(h.fields) < 3 {
+				return h.bad("clock", "batch does not start with a clock line")
+			}
+			if h.clock, err = micros(h.fields[1]); err != nil {
+				return h.bad("clock", err.Error())
+			}
+			batch, open = string(h.fields[2]), true
+		case string(h.fields[0]) == "eob":
+			h.reply = append(append(append(h.reply, "finished "...), batch...), '\n')
+			if _, err := w.Write(h.reply); err != nil {
+				return err
+			}
+			if err := w.Flush(); err != nil {
+				return err
+			}
+			h.reply, open = h.reply[:0], false
+		case string(h.fields[0]) == "inventory":
+			if err := h.inventory(r); err != nil {
+				return err
+			}
+		default:
+			if err := h.event(); err != nil {
+				return err
+			}
+		}
+		long = long[:0]
+	}
+}
+
+func (h *host) bad(field, why string) error {
+	return fmt.Errorf("line %d, field %s: %s", h.line, field, why)
+}
+
+func (h *host) split(text []byte) {
+	h.fields = h.fields[:0]
+	for len(text) > 0 {
+		i := bytes.IndexByte(text, ' ')
+		if i < 0 {
+			h.fields = append(h.fields, text)
+			return
+		}
+		h.fields = append(h.fields, text[:i])
+		text = text[i+1:]
+	}
+}
+
+func (h *host) inventory(r *bufio.Reader) error {
+	if len(h.fields) < 3 {
+		return h.bad("items", "too few fields")
+	}
+	sheet, err := strconv.Atoi(string(h.fields[1]))
+	if err != nil || sheet < 0 || sheet >= maxSheets {
+		return h.bad("sheet", "no list number")
+	}
+	count, err := strconv.Atoi(string(h.fields[2]))
+	if err != nil || count < 0 {
+		return h.bad("items", "no count")
+	}
+	rows := make([][]byte, 0, min(count, 1<<16))
+	for range count {
+		text, err := r.ReadBytes('\n')
+		if err != nil {
+			return h.bad("items", "input ends within a list")
+		}
+		h.line++
+		if !bytes.HasPrefix(text, []byte("m ")) {
+			return h.bad("items", "not a list entry")
+		}
+		rows = append(rows, bytes.TrimRight(text, "\r\n"))
+	}
+	h.sheets[sheet] = rows
+	return nil
+}
+
+// arity is the least number of fields of each event, its name included.
+var arity = map[string]int{
+	"open_instance": 3, "detach": 2, "peers_known": 5, "req": 11, "started": 6, "result": 9,
+	"gone": 3, "elapsed": 3, "checked": 5, "note_from": 4,
+}
+
+func (h *host) event() error {
+	f := h.fields
+	least, known := arity[string(f[0])]
+	if !known {
+		return h.bad("message", fmt.Sprintf("unknown event %q", f[0]))
+	}
+	if len(f) < least {
+		return h.bad(string(f[0]), "too few fields")
+	}
+	switch string(f[0]) {
+	case "open_instance":
+		return h.openInstance(f)
+	case "detach":
+		delete(h.routers, string(f[1]))
+		return nil
+	}
+	o := h.routers[string(f[1])]
+	if o == nil || o.dead {
+		return nil
+	}
+	return o.deliver(f)
+}
+
+// deliver hands one event to the module; a panic there becomes the wire's own report of it.
+func (o *outlet) deliver(f [][]byte) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			o.dead = true
+			o.h.reply = fmt.Appendf(o.h.reply, "bail_out %s %q\n", o.name, fmt.Sprint(p))
+		}
+	}()
+	n := reader{h: o.h}
+	now, r := o.h.clock, o.router
+	switch string(f[0]) {
+	case "peers_known":
+		return o.list(f, &n)
+	case "req":
+		group, known := o.groups[string(f[3])]
+		if !known {
+			return o.h.bad("grade", "unknown class")
+		}
+		team := -1
+		if t, known := o.teams[string(f[4])]; known {
+			team = t
+		}
+		left, shard, since := n.time(f[6], "timeLeft"), n.num(f[8], "clusterNo"), n.time(f[9], "sinceWriteMs")
+		flags := n.num(f[10], "marks")
+		if n.err == nil {
+			r.Arrive(now, string(f[2]), group, team, text(f[5]), left, int(shard), since, flags&2 != 0)
+		}
+	case "result":
+		what := outcome(n.num(f[5], "result"))
+		hop, took, stand := n.num(f[6], "hop"), n.time(f[7], "delaySeen"), n.num(f[8], "stand")
+		final := n.num(f[4], "final") != 0
+		if n.err != nil {
+			return n.err
+		}
+		role, pos := route.RoleUnknown, int64(0)
+		if stand&3 == 1 || stand&3 == 2 {
+			role = route.Role(stand & 3)
+		}
+		if stand>>2 > 0 {
+			pos = (stand>>2)*1000 + o.zero
+		}
+		r.Seen(now, string(f[3]), took, role, pos)
+		if len(f) > 9 {
+			o.report(now, string(f[3]), f[9], &n)
+		}
+		if n.err == nil {
+			r.Result(now, string(f[2]), string(f[3]), int(hop), what, took, final)
+		}
+	case "checked":
+		took, what := n.time(f[3], "delaySeen"), outcome(n.num(f[4], "result"))
+		if len(f) > 5 && n.err == nil {
+			o.report(now, string(f[2]), f[5], &n)
+		}
+		if n.err == nil {
+			r.Probed(now, string(f[2]), took, what)
+		}
+	case "gone":
+		r.Gone(now, string(f[2]))
+	case "elapsed":
+		cookie, err := strconv.ParseUint(string(f[2]), 10, 64)
+		if err != nil {
+			return o.h.bad("cookie", "no number")
+		}
+		r.Timer(now, cookie)
+	case "note_from":
+		note, err := hex.DecodeString(text(f[3]))
+		if err != nil {
+			return o.h.bad("bytes", "no hex digits")
+		}
+		if from := n.num(f[2], "from"); n.err == nil {
+			r.Note(now, int(from), note)
+		}
+	}
+	return n.err
+}
+
+// report passes on the figures that a node tells of itself.
+func (o *outlet) report(now int64, node string, pairs []byte, n *reader) {
+	for len(pairs) > 0 && string(pairs) != "-" {
+		one, rest, _ := bytes.Cut(pairs, []byte(","))
+		pairs = rest
+		name, value, ok := bytes.Cut(one, []byte(":"))
+		if !ok {
+			n.fail("healthInfo", "not a pair")
+			return
+		}
+		switch string(name) {
+		case "x0":
+			if pos := n.seconds(value, "x0"); n.err == nil {
+				o.router.ReportedPosition(now, node, pos+o.zero)
+			}
+		case "x1":
+			if lead := n.float(value, "x1"); n.err == nil {
+				o.router.ReportedRole(now, node, lead >= 0.5)
+			}
+		case "inflight":
+			if held := n.float(value, "inflight"); n.err == nil {
+				o.router.ReportedHeld(now, node, held)
+			}
+		}
+	}
+}
+
+func (o *outlet) list(f [][]byte, n *reader) error {
+	kind := string(f[2])
+	if kind == "FAILED" {
+		return nil
+	}
+	if kind != "FULL" && kind != "SAVED" && kind != "INCREMENTAL" {
+		return o.h.bad("kind", "unknown kind of list")
+	}
+	sheet := n.num(f[4], "sheet")
+	if n.err != nil {
+		return n.err
+	}
+	if sheet < 0 || sheet >= maxSheets {
+		return o.h.bad("sheet", "no list number")
+	}
+	now := o.h.clock
+	o.router.ListBegins(now, kind != "INCREMENTAL")
+	for _, row := range o.h.sheets[sheet] {
+		o.h.split(row)
+		e := o.h.fields
+		if len(e) < 9 {
+			return o.h.bad("items", "too few fields in a list entry")
+		}
+		state := route.Up
+		switch string(e[6]) {
+		case "up":
+		case "draining":
+			state = route.Draining
+		case "removed":
+			state = route.Removed
+		default:
+			return o.h.bad("availability", "unknown state")
+		}
+		leads, shard := n.float(e[3], "leads"), n.num(e[5], "cluster")
+		weight, started := n.float(e[7], "nominal"), n.time(e[8], "readyAt")
+		if n.err != nil {
+			return n.err
+		}
+		o.router.ListNode(now, string(e[1]), text(e[2]), text(e[4]), int(shard), state, leads >= 0.5, weight, started)
+	}
+	o.router.ListEnds(now)
+	return nil
+}
+
+// reader turns fields into numbers and keeps the first fault.
+type reader struct {
+	h   *host
+	err error
+}
+
+func (n *reader) fail(field, why string) {
+	if n.err == nil {
+		n.err = n.h.bad(field, why)
+	}
+}
+
+func (n *reader) num(f []byte, field string) int64 {
+	if string(f) == "-" {
+		return 0
+	}
+	v, err := strconv.ParseInt(string(f), 10, 64)
+	if err != nil {
+		n.fail(field, "no whole number")
+	}
+	return v
+}
+
+func (n *reader) float(f []byte, field string) float64 {
+	if string(f) == "-" {
+		return 0
+	}
+	v, err := strconv.ParseFloat(string(f), 64)
+	if err != nil {
+		n.fail(field, "no number")
+	}
+	return v
+}
+
+func (n *reader) time(f []byte, field string) int64 {
+	v, err := micros(f)
+	if err != nil {
+		n.fail(field, err.Error())
+	}
+	return v
+}
+
+func (n *reader) seconds(f []byte, field string) int64 {
+	v, err := decimal(f, 6)
+	if err != nil {
+		n.fail(field, err.Error())
+	}
+	return v
+}
+
+var errNoTime = errors.New("no decimal number")
+
+// micros reads decimal milliseconds exactly; an absent value is 0.
+func micros(f []byte) (int64, error) { return decimal(f, 3) }
+
+// decimal reads a decimal number scaled by ten to the given power, rounded down.
+func decimal(f []byte, power int) (int64, error) {
+	if string(f) == "-" {
+		return 0, nil
+	}
+	sign, v, digits, after := int64(1), int64(0), 0, -1
+	for i, c := range f {
+		switch {
+		case c == '-' && i == 0:
+			sign = -1
+		case c == '.' && after < 0:
+			after = 0
+		case c >= '0' && c <= '9':
+			digits++
+			if after >= power {
+				continue
+			}
+			if v > (1<<62)/10 {
+				return 0, errNoTime
+			}
+			v = v*10 + int64(c-'0')
+			if after >= 0 {
+				after++
+			}
+		default:
+			return 0, errNoTime
+		}
+	}
+	if digits == 0 {
+		return 0, errNoTime
+	}
+	for after = max(after, 0); after < power; after++ {
+		if v > (1<<62)/10 {
+			return 0, errNoTime
+		}
+		v *= 10
+	}
+	return sign * v, nil
+}
+
+func text(f []byte) string {
+	if string(f) == "-" {
+		return ""
+	}
+	return string(f)
+}
+
+// outcome translates the wire's number; an unknown one may have run.
+func outcome(v int64) route.Outcome {
+	names := [...]route.Outcome{route.Errored, route.Answered, route.Full, route.TimedOut, route.Unconnected,
+		route.Broken, route.Withdrawn, route.Unsent, route.Missed}
+	if v < 0 || int(v) >= len(names) {
+		return route.Errored
+	}
+	return names[v]
+}
+
+func (o *outlet) action(name string) { o.h.reply = fmt.Appendf(o.h.reply, "%s %s", name, o.name) }
+
+func (o *outlet) millis(t int64) {
+	o.h.reply = append(o.h.reply, ' ')
+	if t < 0 {
+		o.h.reply = append(o.h.reply, '-')
+		t = -t
+	}
+	o.h.reply = strconv.AppendInt(o.h.reply, t/1000, 10)
+	o.h.reply = append(o.h.reply, '.', byte('0'+t/100%10), byte('0'+t/10%10), byte('0'+t%10))
+}
+
+func (o *outlet) word(s string) { o.h.reply = append(append(o.h.reply, ' '), s...) }
+
+func (o *outlet) end() { o.h.reply = append(o.h.reply, '\n') }
+
+// Dispatch implements route.Actions.
+func (o *outlet) Dispatch(cmd, node string, timeout int64) {
+	o.action("transmit")
+	o.word(cmd)
+	o.word(node)
+	o.millis(timeout)
+	o.end()
+}
+
+// Throttle implements route.Actions.
+func (o *outlet) Throttle(cmd string, retryIn int64) {
+	o.action("not_now")
+	o.word(cmd)
+	o.millis(retryIn)
+	o.end()
+}
+
+// Fail implements route.Actions.
+func (o *outlet) Fail(cmd string) {
+	o.action("report_failure")
+	o.word(cmd)
+	o.end()
+}
+
+// Withdraw implements route.Actions.
+func (o *outlet) Withdraw(cmd string, dispatch int) {
+	o.action("withdraw")
+	o.word(cmd)
+	o.h.reply = strconv.AppendInt(append(o.h.reply, ' '), int64(dispatch), 10)
+	o.end()
+}
+
+// Timer implements route.Actions.
+func (o *outlet) Timer(in int64, cookie uint64) {
+	o.action("timer")
+	o.millis(in)
+	o.h.reply = strconv.AppendUint(append(o.h.reply, ' '), cookie, 10)
+	o.end()
+}
+
+// Probe implements route.Actions.
+func (o *outlet) Probe(node string) {
+	o.action("probe")
+	o.word(node)
+	o.end()
+}
+
+// Tell implements route.Actions.
+func (o *outlet) Tell(peer int, note []byte) {
+	o.action("write_peer")
+	o.h.reply = strconv.AppendInt(append(o.h.reply, ' '), int64(peer), 10)
+	o.h.reply = append(o.h.reply, ' ')
+	o.h.reply = hex.AppendEncode(o.h.reply, note)
+	o.end()
+}
