Let reads that a laggard proves go to it when rotation has no room

Cause: replicas past 2 s left rotation and then only a trickle of any-age reads reached them, so the fleet ran at half its work.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -524,26 +524,29 @@
 	p := r.shard.primary[c.shard]
 	r.shard.turn[c.shard]++
 	turn := r.shard.turn[c.shard]
-	best, cost, proven := -1, 0.0, false
+	best, laggard, cost, proven := -1, -1, 0.0, false
 	for i := range m {
 		n := m[(turn+i)%len(m)]
 		if n == p || !r.serves(n, now) {
 			continue
 		}
-		ok := r.fresh(n, c, now)
-		if s.lag[n] > rotationLag || s.errs[n] > errsBad {
-			if !ok || now-s.triedAt[n] < rejoinGap || s.out[n] > 0 {
+		if !r.fresh(n, c, now) {
+			continue
+		}
+		if s.errs[n] > errsBad {
+			if now-s.triedAt[n] < rejoinGap || s.out[n] > 0 {
 				continue
 			}
 			s.triedAt[n] = now // the trickle that lets a node back
 			best, proven = n, true
 			break
 		}
-		if !ok {
+		proven = proven || s.lag[n] <= rotationLag
+		if !r.roomy(n, 1, 1, now) || c.tried(n) {
 			continue
 		}
-		proven = true
-		if !r.roomy(n, 1, 1, now) || c.tried(n) {
+		if s.lag[n] > rotationLag {
+			laggard = n
 			continue
 		}
 		v := s.slow[n] * (1 + float64(s.out[n])) / (1 + s.usualOut[n])
@@ -554,6 +557,9 @@
 			best, cost = n, v
 		}
 	}
+	if best < 0 {
+		best = laggard
+	}
 	if best < 0 && p >= 0 && r.serves(p, now) && r.fresh(p, c, now) && r.roomy(p, spareShare, 1, now) &&
 		(proven || now >= c.holdUntil-2*sweepEvery || r.pointless(c)) {
 		best = p
