--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -23,6 +23,7 @@
 	suspectProbe  = 250_000 // us between probes of a silent node: about a connect time-out
 	silenceTimes  = 4.0     // times a usual response; exponential work stays under it in 98 of 100 cases
 	silenceLeast  = 250_000 // us; shorter silences are pauses that end before a move would help
+	holdUsual     = 2.0     // usual responses to leave before the target: seven in eight then end in time
 	usualPart     = 0.25    // of the target: response time supposed before any is seen
 	usualGain     = 0.02    // smoothing of a group's usual response, ~50 answers
 	nodeGain      = 0.1     // smoothing of a node's figures, ~10 answers
@@ -226,10 +227,13 @@
 	if g.level[group] == Session && r.carried && sinceWrite > 0 {
 		c.need = now - sinceWrite
 	}
+	if g.longest[group] = max(g.longest[group], left); left < g.longest[group]-2*r.tick {
+		c.target -= g.timeout[group] - left // a later try of a client: all its tries share one target
+	}
 	c.holdUntil = c.deadline - deadlineGuard
 	if g.level[group] != Write {
 		c.holdUntil = min(c.holdUntil, now+int64(holdShare*float64(g.timeout[group])),
-			c.target-int64(g.usual[group]))
+			c.target-int64(holdUsual*g.usual[group]))
 	}
 	r.cmds[id] = c
 	r.down(c, now)
@@ -300,6 +304,9 @@
 
 // giveUp answers finally: throttled where a repeat does no harm, failed otherwise.
 func (r *Router) giveUp(c *cmd) {
+	if len(c.tries) == 0 && c.share {
+		r.tenant.left[c.tenant]++ // it took nothing; the client's next try may have it
+	}
 	effect, ran := r.group.effect[c.group], c.mayHaveRun || c.open > 0
 	if !ran || effect == Replayable || effect == Keyed && r.group.everywhere[c.group] {
 		r.act.Throttle(c.id, 0)
@@ -361,6 +368,7 @@
 			c.value *= max(t.overWorth, 1e-3)
 		} else {
 			t.left[c.tenant]--
+			c.share = true
 		}
 	}
 	return pass
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -14,7 +14,7 @@
 	open                      int
 	firstRun                  int64 // when the earliest dispatch that may have run was sent
 	mayHaveRun                bool
-	late, held, done, again   bool
+	held, done, again, share  bool // share: it took a part of its tenant's share
 }
 
 // try is one dispatch of a command.
@@ -123,6 +123,7 @@
 	window     []int64
 	targets    []int64
 	timeout    []int64
+	longest    []int64 // longest time that a client left for a try
 	benefit    []float64
 	lateWorth  []float64
 	usual      []float64 // usual response time
@@ -244,6 +245,7 @@
 	g.window = append(g.window, window)
 	g.targets = append(g.targets, target)
 	g.timeout = append(g.timeout, timeout)
+	g.longest = append(g.longest, 0)
 	g.benefit = append(g.benefit, benefit)
 	g.lateWorth = append(g.lateWorth, lateWorth)
 	g.usual = append(g.usual, 0)
