--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,6 +24,7 @@
 	silenceTimes  = 4.0     // times a usual response; exponential work stays under it in 98 of 100 cases
 	silenceLeast  = 250_000 // us; shorter silences are pauses that end before a move would help
 	holdUsual     = 2.0     // usual responses to leave before the target: seven in eight then end in time
+	holdLeast     = 0.1     // of the target: the wait that a read gets even where responses are slow
 	usualPart     = 0.25    // of the target: response time supposed before any is seen
 	usualGain     = 0.02    // smoothing of a group's usual response, ~50 answers
 	nodeGain      = 0.1     // smoothing of a node's figures, ~10 answers
@@ -233,7 +234,7 @@
 	c.holdUntil = c.deadline - deadlineGuard
 	if g.level[group] != Write {
 		c.holdUntil = min(c.holdUntil, now+int64(holdShare*float64(g.timeout[group])),
-			c.target-int64(holdUsual*g.usual[group]))
+			max(now+int64(holdLeast*float64(g.targets[group])), c.target-int64(holdUsual*g.usual[group])))
 	}
 	r.cmds[id] = c
 	r.down(c, now)
