--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -533,6 +533,10 @@
 	p := r.shard.primary[c.shard]
 	r.shard.turn[c.shard]++
 	turn := r.shard.turn[c.shard]
+	share := 1.0
+	if c.value < r.group.benefit[c.group] {
+		share = spareShare // worth little: it must not fill the room that others will want
+	}
 	best, laggard, cost, proven := -1, -1, 0.0, false
 	for i := range m {
 		n := m[(turn+i)%len(m)]
@@ -551,7 +555,7 @@
 			break
 		}
 		proven = proven || s.lag[n] <= rotationLag
-		if !r.roomy(n, 1, 1, now) || c.tried(n) {
+		if !r.roomy(n, share, 1, now) || c.tried(n) {
 			continue
 		}
 		if s.lag[n] > rotationLag {
