--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -609,14 +609,20 @@
 
 // seek probes the likeliest replica for a held read.
 func (r *Router) seek(c *cmd, now int64) {
-	s, best := &r.node, -1
+	s, best, need := &r.node, -1, c.need
 	if !r.probePos {
 		return
 	}
+	if r.group.level[c.group] == Bounded {
+		need = now - r.group.bound[c.group]
+	}
 	for _, n := range r.shard.members[c.shard] {
 		if n == r.shard.primary[c.shard] || !r.serves(n, now) || now-s.probedAt[n] < probeGap || s.probing[n] {
 			continue
 		}
+		if short := need + s.lag[n] - now; short > 0 && 2*short > now-s.posAt[n] { // cannot be there yet
+			continue
+		}
 		if best < 0 || s.lag[n] < s.lag[best] {
 			best = n
 		}
