Budget a cold node by work answered and let late commands fall behind

Cause 2: writes were sent with too little time left and ran for nothing; commands past their prime now fall in value and none is sent in its last two usual responses.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -40,8 +40,8 @@
 	equalSlack    = 1.15    // expected responses within 15% count as equal
 	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
 	coldPart      = 0.9     // of the warm rate scaled by warmth: all routers together stay under once
-	coldBurst     = 2.0     // usual commands that a cold node may be owed at once
-	coldUnknown   = 1.0     // usual commands a second to a cold node with no warm peer to go by
+	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once
+	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
 	rateSpan      = 2e6     // us over which a node's sent work is averaged
 	listDoubt     = 5e6     // us for which an answer's role outweighs a late list
 	tokenMost     = 50_000  // sessions remembered in each of two generations
@@ -217,13 +217,13 @@
 
 // Arrive takes a command; the router owes it one final answer from here on.
 func (r *Router) Arrive(now int64, id string, group, tenant int, session string, left int64, wire int,
-	sinceWrite int64, again bool) {
+	sinceWrite int64, _ bool) {
 	g := &r.group
 	sh, known := r.shard.number[wire]
 	if !known {
 		sh = r.shard.add(wire)
 	}
-	c := &cmd{id: id, group: group, tenant: tenant, shard: sh, session: session, arrived: now, again: again,
+	c := &cmd{id: id, group: group, tenant: tenant, shard: sh, session: session, arrived: now,
 		deadline: now + left, target: now + g.targets[group], to: -1}
 	if g.level[group] == Session && r.carried && sinceWrite > 0 {
 		c.need = now - sinceWrite
@@ -231,11 +231,14 @@
 	if g.longest[group] = max(g.longest[group], left); left < g.longest[group]-2*r.tick {
 		c.target -= g.timeout[group] - left // a later try of a client: all its tries share one target
 	}
-	c.holdUntil = c.deadline - deadlineGuard
+	// Sent later than two usual responses before a limit, most answers would come after it.
+	need := int64(holdUsual * g.usual[group])
+	c.prime = max(now+int64(holdLeast*float64(g.targets[group])), c.target-need)
+	c.holdUntil = max(now+int64(holdLeast*float64(left)), c.deadline-need)
 	if g.level[group] != Write {
-		c.holdUntil = min(c.holdUntil, now+int64(holdShare*float64(g.timeout[group])),
-			max(now+int64(holdLeast*float64(g.targets[group])), c.target-int64(holdUsual*g.usual[group])))
+		c.holdUntil = min(c.holdUntil, c.prime, now+int64(holdShare*float64(g.timeout[group])))
 	}
+	c.holdUntil = min(c.holdUntil, c.deadline-deadlineGuard)
 	r.cmds[id] = c
 	r.down(c, now)
 }
@@ -271,18 +274,12 @@
 		return
 	}
 	r.shard.waiting[sh] = nil
-	rest := w[:0]
 	for _, c := range w {
-		if c.done || r.down(c, now) != keep {
-			c.held = false
-			continue
+		c.held = false
+		if !c.done {
+			r.down(c, now)
 		}
-		rest = append(rest, c)
-	}
-	for _, c := range r.shard.waiting[sh] { // newly held meanwhile
-		rest = append(rest, c)
 	}
-	r.shard.waiting[sh] = rest
 }
 
 // finish closes a command; dispatches still out are called off.
@@ -319,7 +316,11 @@
 
 // expire ends a command that can no longer be answered in time, or has waited its share.
 func (r *Router) expire(c *cmd, now int64) verdict {
-	if now >= c.holdUntil && len(c.tries) == 0 || now >= c.deadline-deadlineGuard ||
+	if now > c.prime && !c.late { // its value fell: it goes behind those that can still be in time
+		c.late = true
+		c.value *= r.group.lateWorth[c.group]
+	}
+	if now >= c.holdUntil && !c.mayHaveRun || now >= c.deadline-deadlineGuard ||
 		len(c.tries) >= r.maxDispatches {
 		r.giveUp(c)
 		return end
@@ -356,9 +357,10 @@
 
 // admit sets a command's value: what lies over its tenant's share waits behind the rest.
 func (r *Router) admit(c *cmd, now int64) verdict {
-	if c.value > 0 {
+	if c.admitted {
 		return pass
 	}
+	c.admitted = true
 	t := &r.tenant
 	c.value = r.group.benefit[c.group]
 	if c.tenant >= 0 && c.tenant < len(t.quota) && t.quota[c.tenant] > 0 {
@@ -400,14 +402,14 @@
 }
 
 // roomy tells whether a node may take one more: its limit, and what a cold one may be sent.
-func (r *Router) roomy(n int, share float64, work float64, now int64) bool {
+func (r *Router) roomy(n int, share float64, g int, now int64) bool {
 	s := &r.node
 	if float64(s.out[n])+1 > max(leastLimit, s.limit[n]*share) {
 		return false
 	}
 	if warmth := r.warmth(n, now); warmth < 1 {
-		r.refill(n, warmth, now)
-		return s.credit[n] >= work
+		r.refill(n, g, warmth, now)
+		return s.credit[n] >= r.group.usual[g]
 	}
 	return true
 }
@@ -422,7 +424,7 @@
 
 // refill gives a cold node the part of a warm peer's work that its warmth allows. Guards rule four
 // against any mix of routers, for each sends a part of what it alone sends a warm peer.
-func (r *Router) refill(n int, warmth float64, now int64) {
+func (r *Router) refill(n, g int, warmth float64, now int64) {
 	s := &r.node
 	rate, peers := 0.0, 0
 	for m := range s.id {
@@ -435,11 +437,11 @@
 	if peers > 0 {
 		allowed = max(allowed, coldPart*warmth*rate/float64(peers))
 	}
-	s.credit[n] = min(coldBurst, s.credit[n]+allowed*float64(now-s.creditAt[n])/1e6)
+	s.credit[n] = min(coldBurst*r.group.usual[g], s.credit[n]+allowed*float64(now-s.creditAt[n])/1e6)
 	s.creditAt[n] = now
 }
 
-// rateOf is the work sent to a node a second, lately.
+// rateOf is the work that a node answered a second, lately, in us of usual response.
 func (r *Router) rateOf(n int, now int64) float64 {
 	s := &r.node
 	if gap := float64(now - s.rateAt[n]); gap > 0 {
@@ -455,7 +457,7 @@
 		return pass
 	}
 	p := r.shard.primary[c.shard]
-	if p >= 0 && r.serves(p, now) && r.roomy(p, 1, 1, now) {
+	if p >= 0 && r.serves(p, now) && r.roomy(p, 1, c.group, now) {
 		c.to = p
 		return pass
 	}
@@ -465,7 +467,7 @@
 	c.to = -1
 	if r.group.level[c.group] == Write && r.ask(c.shard, now) {
 		// No primary known: this write itself asks a member that answers; a miss leaves it untouched.
-		if n := r.shard.asked[c.shard]; n != p && r.serves(n, now) && r.roomy(n, 1, 1, now) &&
+		if n := r.shard.asked[c.shard]; n != p && r.serves(n, now) && r.roomy(n, 1, c.group, now) &&
 			2*len(c.tries) < r.maxDispatches && now-r.node.answered[n] < listDoubt {
 			c.to = n
 			return pass
@@ -555,7 +557,7 @@
 			break
 		}
 		proven = proven || s.lag[n] <= rotationLag
-		if !r.roomy(n, share, 1, now) || c.tried(n) {
+		if !r.roomy(n, share, c.group, now) || c.tried(n) {
 			continue
 		}
 		if s.lag[n] > rotationLag {
@@ -573,7 +575,7 @@
 	if best < 0 {
 		best = laggard
 	}
-	if best < 0 && p >= 0 && r.serves(p, now) && r.fresh(p, c, now) && r.roomy(p, spareShare, 1, now) &&
+	if best < 0 && p >= 0 && r.serves(p, now) && r.fresh(p, c, now) && r.roomy(p, spareShare, c.group, now) &&
 		(proven || now >= c.holdUntil-2*sweepEvery || r.pointless(c)) {
 		best = p
 	}
@@ -640,10 +642,8 @@
 	s.out[n]++
 	s.open[n] = append(s.open[n], openTry{c, len(c.tries) - 1})
 	s.usualOut[n] += nodeGain * (float64(s.out[n]-1) - s.usualOut[n])
-	r.rateOf(n, now)
-	s.rate[n] += 1e6 / rateSpan
 	if r.warmth(n, now) < 1 {
-		s.credit[n]--
+		s.credit[n] -= r.group.usual[c.group]
 	}
 	r.act.Dispatch(c.id, s.id[n], 0)
 	return pass
@@ -668,6 +668,8 @@
 		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+4)) * (float64(took) - g.usual[c.group])
 		s.slow[at] += nodeGain * (min(10, float64(took)/g.usual[c.group]) - s.slow[at])
 		s.errs[at] -= errGain * s.errs[at]
+		r.rateOf(at, now)
+		s.rate[at] += g.usual[c.group] * 1e6 / rateSpan // only work done tells what a node can do
 		if float64(took) > lateAt*float64(g.targets[c.group]) {
 			s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
 		} else if float64(s.out[at])+1 > 0.7*s.limit[at] {
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -2,19 +2,21 @@
 
 // cmd is one command that the router owes a final answer, or whose dispatches are still out after it.
 type cmd struct {
-	id                        string
-	group, tenant, shard      int
-	session                   string
-	arrived, target, deadline int64
-	holdUntil                 int64 // latest time at which it may still be waiting unsent
-	need                      int64 // position its data must have reached; 0 for none
-	value                     float64
-	to                        int // node chosen for the next dispatch
-	tries                     []try
-	open                      int
-	firstRun                  int64 // when the earliest dispatch that may have run was sent
-	mayHaveRun                bool
-	held, done, again, share  bool // share: it took a part of its tenant's share
+	id                         string
+	group, tenant, shard       int
+	session                    string
+	arrived, target, deadline  int64
+	holdUntil                  int64 // latest time at which it may still be waiting unsent
+	prime                      int64 // latest time for sending it that is likely to meet the target
+	need                       int64 // position its data must have reached; 0 for none
+	value                      float64
+	to                         int // node chosen for the next dispatch
+	tries                      []try
+	open                       int
+	firstRun                   int64 // when the earliest dispatch that may have run was sent
+	mayHaveRun                 bool
+	held, done, late, admitted bool
+	share                      bool // it took a part of its tenant's share
 }
 
 // try is one dispatch of a command.
@@ -60,7 +62,7 @@
 	triedAt   []int64 // last trickle dispatch to a node out of favour
 	probedAt  []int64
 	probing   []bool
-	rate      []float64 // work sent a second, in usual commands, lately
+	rate      []float64 // work answered a second, in us, lately
 	rateAt    []int64
 	credit    []float64 // work a cold node may still be sent
 	creditAt  []int64
