--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -539,6 +539,10 @@
 	if c.value < r.group.benefit[c.group] {
 		share = spareShare // worth little: it must not fill the room that others will want
 	}
+	typical := 1.0 // a node's response is taken to grow with what it holds beyond its usual, in this measure
+	for _, n := range m {
+		typical += s.usualOut[n] / float64(len(m))
+	}
 	best, laggard, cost, proven := -1, -1, 0.0, false
 	for i := range m {
 		n := m[(turn+i)%len(m)]
@@ -564,7 +568,7 @@
 			laggard = n
 			continue
 		}
-		v := s.slow[n] * (1 + float64(s.out[n])) / (1 + s.usualOut[n])
+		v := s.slow[n] * (typical + float64(s.out[n])) / (typical + s.usualOut[n])
 		if s.zone[n] != r.zone {
 			v *= zoneSlack
 		}
