--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -28,6 +28,7 @@
 	usualPart     = 0.25    // of the target: response time supposed before any is seen
 	usualGain     = 0.02    // smoothing of a group's usual response, ~50 answers
 	nodeGain      = 0.1     // smoothing of a node's figures, ~10 answers
+	fullRest      = 50_000  // us in which a node that turned work away gets none: some of its commands end
 	errGain       = 0.15    // smoothing of a node's error share, ~7 answers
 	errsBad       = 0.3     // error share that puts a node out of favour: far over chance, under a real fault
 	firstLimit    = 6.0     // commands in flight at a node not yet known: a few for each small machine
@@ -39,7 +40,7 @@
 	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
 	equalSlack    = 1.15    // expected responses within 15% count as equal
 	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
-	coldPart      = 0.9     // of the warm rate scaled by warmth: all routers together stay under once
+	coldPart      = 0.45    // of the multiple that pushes a cold node over: chance and work sizes take the rest
 	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
 	rateSpan      = 2e6     // us over which a node's sent work is averaged
@@ -395,10 +396,7 @@
 // serves tells whether a node may be sent anything now.
 func (r *Router) serves(n int, now int64) bool {
 	s := &r.node
-	if s.state[n] == Removed && r.droppedOpen || s.state[n] == Up {
-		return !s.suspect[n]
-	}
-	return false
+	return (s.state[n] == Up || s.state[n] == Removed && r.droppedOpen) && !s.suspect[n] && now >= s.restTill[n]
 }
 
 // roomy tells whether a node may take one more: its limit, and what a cold one may be sent.
@@ -435,7 +433,7 @@
 	}
 	allowed := coldUnknown / float64(r.siblings)
 	if peers > 0 {
-		allowed = max(allowed, coldPart*warmth*rate/float64(peers))
+		allowed = max(allowed, coldPart*r.fallMultiple*warmth*rate/float64(peers))
 	}
 	s.credit[n] = min(coldBurst*r.group.usual[g], s.credit[n]+allowed*float64(now-s.creditAt[n])/1e6)
 	s.creditAt[n] = now
@@ -684,8 +682,8 @@
 		}
 	case Errored, Broken:
 		s.errs[at] += errGain * (1 - s.errs[at])
-	case Full:
-		s.limit[at], s.slowStart[at] = s.limit[at]*0.7, false
+	case Full: // a full line or a drain not yet listed: asking again at once only costs
+		s.limit[at], s.slowStart[at], s.restTill[at] = s.limit[at]*0.7, false, now+fullRest
 	case Unconnected:
 		s.suspect[at] = true
 	}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -59,6 +59,7 @@
 	errs      []float64
 	answered  []int64 // last sign of work done
 	suspect   []bool
+	restTill  []int64 // gets nothing before
 	triedAt   []int64 // last trickle dispatch to a node out of favour
 	probedAt  []int64
 	probing   []bool
@@ -94,6 +95,7 @@
 	s.errs = append(s.errs, 0)
 	s.answered = append(s.answered, 0)
 	s.suspect = append(s.suspect, false)
+	s.restTill = append(s.restTill, 0)
 	s.triedAt = append(s.triedAt, 0)
 	s.probedAt = append(s.probedAt, 0)
 	s.probing = append(s.probing, false)
