--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -36,7 +36,7 @@
 	mostLimit     = 200.0   // keeps a limit that was never reached from running away
 	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
 	limitCut      = 0.6     // limit lost by a late answer: six to one lets about one in seven be late
-	lateAt        = 0.6     // of the target: a response past it counts as late for the limit
+	lateAt        = 0.8     // of the target: a response past it counts as late for the limit
 	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
 	equalSlack    = 1.15    // expected responses within 15% count as equal
 	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
