Set one replica of each group aside for long reads of any age

Cause: reads of half a second stop a replica from applying the log while they run; spread over all replicas they kept each some seconds behind without any other trouble. Also guards session reads against any long scan; it harms where the one set aside is the only quick one.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -37,6 +37,7 @@
 	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
 	limitCut      = 0.6     // limit lost by a late answer: six to one lets about one in seven be late
 	lateAt        = 0.8     // of the target: a response past it counts as late for the limit
+	longTimes     = 3.0     // times the shortest usual response: such a read holds up a replica's applying
 	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
 	equalSlack    = 1.15    // expected responses within 15% count as equal
 	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
@@ -537,6 +538,15 @@
 	if c.value < r.group.benefit[c.group] {
 		share = spareShare // worth little: it must not fill the room that others will want
 	}
+	if r.long(c.group) && now < c.prime {
+		if n := r.aside(c.shard, now); n >= 0 {
+			c.to = n
+			if r.roomy(n, 1, c.group, now) && !c.tried(n) {
+				return pass
+			}
+			return keep
+		}
+	}
 	typical := 1.0 // a node's response is taken to grow with what it holds beyond its usual, in this measure
 	for _, n := range m {
 		typical += s.usualOut[n] / float64(len(m))
@@ -591,6 +601,37 @@
 	return pass
 }
 
+// long tells whether a command group runs many times longer than the shortest and takes any data.
+func (r *Router) long(g int) bool {
+	least := r.group.usual[g]
+	for _, u := range r.group.usual {
+		least = min(least, u)
+	}
+	return r.group.level[g] == Any && r.group.usual[g] > longTimes*least
+}
+
+// aside is the replica that takes a group's long reads: one already out of rotation, else the first by
+// id, so that all routers choose alike. Exception to rotating among equals, while three members serve:
+// a long read may stop its replica from applying the log, so the others stay fresh for session reads.
+// Should the one set aside be weak, long reads wait there while others have room.
+func (r *Router) aside(sh int, now int64) int {
+	s, best, replicas := &r.node, -1, 0
+	for _, n := range r.shard.members[sh] {
+		if n == r.shard.primary[sh] || !r.serves(n, now) || s.errs[n] > errsBad || r.warmth(n, now) < 1 {
+			continue
+		}
+		replicas++
+		if best < 0 || s.lag[n] > rotationLag && s.lag[best] <= rotationLag ||
+			s.lag[n] > rotationLag == (s.lag[best] > rotationLag) && s.id[n] < s.id[best] {
+			best = n
+		}
+	}
+	if replicas < 2 {
+		return -1
+	}
+	return best
+}
+
 func (c *cmd) tried(n int) bool {
 	for _, t := range c.tries {
 		if t.node == n {
