Test the module beside a plain model of the five rules

The model found held commands answered up to 30 ms after their timeout under slow beats: the guard is now two beats.

--- /dev/null
+++ b/internal/route/helpers_test.go
@@ -0,0 +1,283 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+)
+
+// world is the slow, plain model of the rules. It stands where a protocol would: it takes the module's
+// actions, holds what the module was told, and complains of whatever the rules do not allow.
+type world struct {
+	t       testing.TB
+	r       *Router
+	now     int64
+	second  bool
+	drained map[string]bool
+	started map[string]int64
+	pos     map[string]int64  // highest position told
+	leads   map[string]bool   // told to be primary, and not told otherwise since
+	shard   map[string]int    // of each node
+	cmds    map[string]*taken // all commands ever taken by the present instance
+	open    []flight
+	probes  []string
+	timers  []int64
+	cold    map[string][]int64 // sends to a cold node
+	log     []string
+}
+
+type taken struct {
+	effect          Effect
+	level           Read
+	shard           int
+	arrived         int64
+	deadline        int64
+	need            int64
+	sent            int
+	open            int
+	ran             bool
+	firstRun        int64
+	answered, given bool
+	retryIn         int64
+}
+
+type flight struct {
+	cmd, node string
+	n         int
+	sent      int64
+	due       int64
+	withdrawn bool
+}
+
+const (
+	modelWindow = 3_000_000
+	modelBound  = 1_000_000
+	modelCold   = 10_000_000
+	modelFrom   = 0.2
+	modelFall   = 2_000_000
+	modelRate   = 50.0 // commands a second that a warm node of the model can do
+)
+
+// The command groups of the model, by number.
+const (
+	gAny = iota
+	gBounded
+	gSession
+	gFresh
+	gKeyed
+	gMutating
+	gLong
+)
+
+func newWorld(t testing.TB, seed uint64, second bool) *world {
+	w := &world{t: t, second: second, now: 1_000_000_000, drained: map[string]bool{}, started: map[string]int64{},
+		pos: map[string]int64{}, leads: map[string]bool{}, shard: map[string]int{}}
+	w.restart(seed)
+	return w
+}
+
+// restart replaces the instance; what the old one held is no longer its duty.
+func (w *world) restart(seed uint64) {
+	w.cmds, w.open, w.probes, w.timers = map[string]*taken{}, nil, nil, nil
+	w.pos, w.leads, w.cold = map[string]int64{}, map[string]bool{}, map[string][]int64{}
+	r := New(seed, w)
+	r.Place("here", 0, 1, 5_000)
+	for _, g := range []struct {
+		e Effect
+		l Read
+		t int64
+	}{{Replayable, Any, 1e6}, {Replayable, Bounded, 1e6}, {Replayable, Session, 1e6}, {Replayable, Fresh, 1e6},
+		{Keyed, Write, 4e6}, {Mutating, Write, 4e6}, {Replayable, Any, 6e6}} {
+		r.Group(g.e, false, g.l, modelBound, modelWindow, g.t/4, g.t, 1, 0.5)
+	}
+	r.Dispatches(6, w.second, true)
+	r.Throttles(true, 500_000)
+	r.Probes(true, true, true)
+	r.Positions(true, true, true, 0)
+	r.Roles(RolesLate)
+	r.ColdStart(modelCold, modelFrom, 2, modelFall)
+	r.Drains(1e6, false)
+	w.r = r
+	r.Start(w.now)
+}
+
+// list tells the whole list: nodes n0, n1, ... of each group, the first marked as its primary.
+func (w *world) list(groups, members int) {
+	w.r.ListBegins(w.now, true)
+	for g := range groups {
+		for m := range members {
+			id := fmt.Sprintf("g%dn%d", g, m)
+			w.shard[id] = g
+			w.node(id, m == 0)
+			if m == 0 {
+				w.leads[id] = true
+			}
+		}
+	}
+	w.r.ListEnds(w.now)
+}
+
+func (w *world) node(id string, lead bool) {
+	state := Up
+	if w.drained[id] {
+		state = Draining
+	}
+	w.r.ListNode(w.now, id, "here", "kind", w.shard[id], state, lead, 1, w.started[id])
+}
+
+// change tells one changed entry.
+func (w *world) change(id string) {
+	w.r.ListBegins(w.now, false)
+	w.node(id, false)
+	w.r.ListEnds(w.now)
+}
+
+func (w *world) arrive(id string, group, shard int, left, since int64) *taken {
+	effects := []Effect{Replayable, Replayable, Replayable, Replayable, Keyed, Mutating, Replayable}
+	levels := []Read{Any, Bounded, Session, Fresh, Write, Write, Any}
+	c := &taken{effect: effects[group], level: levels[group], shard: shard, arrived: w.now, deadline: w.now + left}
+	if c.level == Session && since > 0 {
+		c.need = w.now - since
+	}
+	w.cmds[id] = c
+	w.r.Arrive(w.now, id, group, -1, "s", left, shard, since, false)
+	return c
+}
+
+// answer ends the flight at an index; pos and role are what the node tells of itself.
+func (w *world) answer(i int, o Outcome, role Role, pos int64) {
+	f := w.open[i]
+	w.open = append(w.open[:i:i], w.open[i+1:]...)
+	c := w.cmds[f.cmd]
+	c.open--
+	if !o.NeverRan() && !c.ran {
+		c.ran, c.firstRun = true, f.sent
+	}
+	final := c.given || c.answered
+	if o == Answered && !final {
+		c.answered, final = true, true
+	}
+	if o != TimedOut && o != Unconnected && o != Broken && o != Withdrawn && o != Unsent {
+		w.tell(f.node, role, pos)
+		w.r.Seen(w.now, f.node, w.now-f.sent, role, pos)
+	}
+	w.r.Result(w.now, f.cmd, f.node, f.n, o, w.now-f.sent, final)
+}
+
+func (w *world) tell(node string, role Role, pos int64) {
+	w.pos[node] = max(w.pos[node], pos)
+	if role != RoleUnknown {
+		w.leads[node] = role == Primary
+	}
+	if role == Primary {
+		w.pos[node] = max(w.pos[node], w.now)
+	}
+}
+
+// step lets time pass, fires timers and checks that nothing is overdue.
+func (w *world) step(d int64) {
+	w.now += d
+	fired := 0
+	for _, at := range w.timers {
+		if at <= w.now {
+			fired++
+		}
+	}
+	w.timers = w.timers[fired:]
+	for range fired {
+		w.r.Timer(w.now, 0)
+	}
+	for i := len(w.open) - 1; i >= 0; i-- {
+		if i < len(w.open) && w.now >= w.cmds[w.open[i].cmd].deadline {
+			w.answer(i, TimedOut, RoleUnknown, 0)
+		}
+	}
+	for id, c := range w.cmds {
+		if !c.answered && !c.given && w.now > c.deadline+20_000 {
+			w.t.Fatalf("lost: %s has no final answer %d us after its timeout %+v %+v", id, w.now-c.deadline, c, w.r.cmds[id])
+		}
+	}
+}
+
+func (w *world) final(id string, throttled bool) {
+	c := w.cmds[id]
+	if c == nil || c.given || c.answered {
+		w.t.Fatalf("lost: second final answer for %s", id)
+	}
+	if throttled && c.effect != Replayable && (c.ran || c.open > 0) {
+		w.t.Fatalf("effect: %s throttled though it may have run", id)
+	}
+	c.given = true
+}
+
+// Dispatch implements Actions.
+func (w *world) Dispatch(id, node string, _ int64) {
+	c := w.cmds[id]
+	switch {
+	case c == nil || c.given || c.answered:
+		w.t.Fatalf("lost: %s dispatched after its end", id)
+	case w.shard[node] != c.shard:
+		w.t.Fatalf("%s sent outside its group", id)
+	case w.drained[node]:
+		w.t.Fatalf("drain: %s sent to %s", id, node)
+	case !w.second && c.open > 0:
+		w.t.Fatalf("effect: second copy of %s", id)
+	case c.effect == Mutating && (c.ran || c.open > 0):
+		w.t.Fatalf("effect: mutating %s sent twice", id)
+	case c.effect == Keyed && c.ran && w.now > c.firstRun+modelWindow:
+		w.t.Fatalf("effect: keyed %s sent after its window", id)
+	}
+	fresh := w.leads[node]
+	switch c.level {
+	case Any, Write:
+		fresh = true
+	case Session:
+		fresh = fresh || c.need == 0 || w.pos[node] >= c.need
+	case Bounded:
+		fresh = fresh || w.pos[node] >= w.now-modelBound
+	}
+	if !fresh {
+		w.t.Fatalf("stale: %s sent to %s, proven to %d, needs %d", id, node, w.pos[node], c.need)
+	}
+	if s := w.started[node]; s > 0 && w.now < s+modelCold {
+		w.cold[node] = append(w.cold[node], w.now)
+		n, warm := 0, modelFrom+(1-modelFrom)*float64(w.now-s)/modelCold
+		for _, at := range w.cold[node] {
+			if at > w.now-modelFall {
+				n++
+			}
+		}
+		if float64(n) > 2*warm*modelRate*modelFall/1e6 {
+			w.t.Fatalf("cold: %d sent to %s in a window at warmth %.2f", n, node, warm)
+		}
+	}
+	w.open = append(w.open, flight{cmd: id, node: node, n: c.sent, sent: w.now, due: w.now + 20_000})
+	c.sent++
+	c.open++
+}
+
+// Throttle implements Actions.
+func (w *world) Throttle(id string, retryIn int64) {
+	w.final(id, true)
+	w.cmds[id].retryIn = retryIn
+}
+
+// Fail implements Actions.
+func (w *world) Fail(id string) { w.final(id, false) }
+
+// Withdraw implements Actions.
+func (w *world) Withdraw(id string, n int) {
+	for i := range w.open {
+		if w.open[i].cmd == id && w.open[i].n == n {
+			w.open[i].withdrawn = true
+		}
+	}
+}
+
+// Timer implements Actions.
+func (w *world) Timer(in int64, _ uint64) { w.timers = append(w.timers, w.now+in) }
+
+// Probe implements Actions.
+func (w *world) Probe(node string) { w.probes = append(w.probes, node) }
+
+// Tell implements Actions.
+func (w *world) Tell(int, []byte) {}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -47,7 +47,7 @@
 	rateSpan      = 2e6     // us over which a node's sent work is averaged
 	listDoubt     = 5e6     // us for which an answer's role outweighs a late list
 	tokenMost     = 50_000  // sessions remembered in each of two generations
-	deadlineGuard = 10_000  // us before the client timeout at which a held command is answered
+	deadlineGuard = 40_000  // us before the client timeout at which a held command is answered: two beats
 )
 
 type verdict uint8
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,324 @@
+package route
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// FuzzRules plays generated events against the module; the model complains of any breach.
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(24) {
+		f.Add(seed, uint8(seed*37), seed%2 == 0)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, mood uint8, second bool) { play(t, seed, mood, second, 4000) })
+}
+
+// play runs one generated day; mood sets how much goes wrong.
+func play(t testing.TB, seed uint64, mood uint8, second bool, steps int) {
+	rnd := rand.New(rand.NewSource(int64(seed)))
+	w := newWorld(t, seed, second)
+	const shards, members = 2, 4
+	primary := []string{"g0n0", "g1n0"}
+	lag, hung, served := map[string]int64{}, map[string]bool{}, map[string]int64{}
+	w.list(shards, members)
+	next := 0
+	for range steps {
+		any := fmt.Sprintf("g%dn%d", rnd.Intn(shards), rnd.Intn(members))
+		if rnd.Intn(256) < int(mood) {
+			switch rnd.Intn(40) {
+			case 0:
+				primary[w.shard[any]] = any
+			case 1:
+				lag[any] = rnd.Int63n(5_000_000)
+			case 2:
+				hung[any] = !hung[any]
+			case 3:
+				w.started[any], hung[any] = w.now, false
+				w.cold[any] = nil
+				w.change(any)
+			case 4:
+				w.drained[any] = !w.drained[any]
+				w.change(any)
+			case 5:
+				w.restart(rnd.Uint64())
+				w.list(shards, members)
+				w.leads = map[string]bool{"g0n0": true, "g1n0": true}
+			}
+		}
+		for range rnd.Intn(3) {
+			next++
+			group := rnd.Intn(7)
+			left := 50_000 + rnd.Int63n(w.r.group.timeout[group])
+			w.arrive(fmt.Sprint("c", next), group, rnd.Intn(shards), left, rnd.Int63n(400_000))
+		}
+		w.step(1 + rnd.Int63n(15_000))
+		at := func(n string) (Role, int64) {
+			if n == primary[w.shard[n]] {
+				return Primary, 0
+			}
+			return Replica, w.now - 10_000 - lag[n]
+		}
+		for i := len(w.open) - 1; i >= 0; i-- {
+			if i >= len(w.open) {
+				continue
+			}
+			fl := w.open[i]
+			role, pos := at(fl.node)
+			o := Answered
+			switch c := w.cmds[fl.cmd]; {
+			case fl.withdrawn && rnd.Intn(3) > 0:
+				o = Withdrawn
+			case hung[fl.node] && w.drained[fl.node]:
+				o = Broken
+			case hung[fl.node] || w.now < fl.due || w.now < served[fl.node]+1e6/int64(modelRate):
+				continue
+			case c.level == Write && role != Primary:
+				o = Missed
+			case rnd.Intn(512) < int(mood):
+				o = []Outcome{Errored, Full, TimedOut, Unconnected, Broken, Unsent}[rnd.Intn(6)]
+			}
+			if o == Answered {
+				served[fl.node] = w.now
+			}
+			w.answer(i, o, role, pos)
+			if rnd.Intn(64) == 0 { // the same result once more, and the client leaves
+				w.r.Result(w.now, fl.cmd, fl.node, fl.n, o, 1, true)
+				w.cmds[fl.cmd].given = true
+				w.r.Gone(w.now, fl.cmd)
+			}
+		}
+		probed := w.probes
+		w.probes = nil
+		for _, n := range probed {
+			if hung[n] {
+				w.r.Probed(w.now, n, 250_000, TimedOut)
+				continue
+			}
+			role, pos := at(n)
+			w.pos[n] = max(w.pos[n], pos)
+			w.r.ReportedPosition(w.now, n, pos)
+			w.r.ReportedRole(w.now, n, role == Primary)
+			if role == Primary {
+				w.leads[n] = true
+			}
+			w.r.Probed(w.now, n, 1_000, Answered)
+		}
+	}
+	for range 700 {
+		w.step(10_000)
+	}
+	if next > 0 && len(w.r.cmds) > len(w.open) {
+		t.Fatalf("%d commands kept after their end", len(w.r.cmds))
+	}
+}
+
+// serve answers all that is open, each node telling its position behind the present.
+func serve(w *world, lag map[string]int64) {
+	for len(w.open) > 0 {
+		n := w.open[0].node
+		if w.leads[n] {
+			w.answer(0, Answered, Primary, 0)
+		} else {
+			w.answer(0, Answered, Replica, w.now-lag[n])
+		}
+	}
+}
+
+func sentTo(w *world) string {
+	if len(w.open) != 1 {
+		return fmt.Sprintf("%d dispatches", len(w.open))
+	}
+	return w.open[0].node
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() string {
+		w := newWorld(t, 5, true)
+		w.list(1, 5)
+		out := ""
+		for i := range 400 {
+			w.arrive(fmt.Sprint("c", i), i%6, 0, 900_000, 300_000)
+			w.step(7_000)
+			for _, f := range w.open {
+				out += f.cmd + f.node
+			}
+			serve(w, nil)
+		}
+		return out
+	}
+	if run() != run() {
+		t.Fatal("two runs of the same events differ")
+	}
+}
+
+// A replica past the rotation bound still serves what it is proven for when rotation has no room.
+func TestLaggardServesAnyRead(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 2)
+	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
+	w.tell("g0n0", Primary, 0)
+	w.r.Seen(w.now, "g0n1", 0, Replica, w.now-9_000_000)
+	w.tell("g0n1", Replica, w.now-9_000_000)
+	for i := range 20 {
+		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
+	}
+	at := 0
+	for _, f := range w.open {
+		if f.node == "g0n1" {
+			at++
+		}
+	}
+	if at < 3 {
+		t.Fatalf("the laggard got %d reads", at)
+	}
+}
+
+// A session read goes to a replica only once its position is proven, and waits for the proof.
+func TestSessionReadWaitsForProof(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 2)
+	w.r.Seen(w.now, "g0n1", 0, Replica, w.now-300_000)
+	w.tell("g0n1", Replica, w.now-300_000)
+	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
+	w.tell("g0n0", Primary, 0)
+	w.arrive("c", gSession, 0, 1e6, 250_000)
+	if len(w.open) != 0 {
+		t.Fatal("sent unproven")
+	}
+	need := w.cmds["c"].need
+	w.step(1_000)
+	w.tell("g0n1", Replica, need)
+	w.r.ReportedPosition(w.now, "g0n1", need)
+	w.r.Probed(w.now, "g0n1", 1_000, Answered)
+	if sentTo(w) != "g0n1" {
+		t.Fatal("not sent to the proven replica but", sentTo(w))
+	}
+}
+
+// Slow responses must not refuse every read on arrival: nothing would be learned again.
+func TestSlowResponsesDoNotRefuseAll(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 3)
+	for i := range 100 {
+		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
+		w.step(400_000)
+		serve(w, nil)
+	}
+	w.step(100_000)
+	w.arrive("last", gAny, 0, 1e6, 0)
+	if len(w.open) != 1 {
+		t.Fatal("an idle fleet refused a read")
+	}
+}
+
+// A write is not sent when too little of its time is left for an answer.
+func TestNoWriteInItsLastMoments(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 3)
+	w.r.Seen(w.now, "g0n0", 0, Replica, 1)
+	w.tell("g0n0", Replica, 1)
+	w.arrive("c", gMutating, 0, 2e6, 0)
+	w.step(1_950_000)
+	w.r.Seen(w.now, "g0n1", 0, Primary, 0)
+	w.tell("g0n1", Primary, 0)
+	w.r.Probed(w.now, "g0n1", 1_000, Answered)
+	if c := w.cmds["c"]; c.sent != 0 || !c.given {
+		t.Fatal("sent with 50 ms left")
+	}
+}
+
+// A node that turned work away is left alone for a moment instead of being asked ten times at once.
+func TestFullNodeRests(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 2)
+	w.arrive("c", gMutating, 0, 2e6, 0)
+	w.answer(0, Full, Primary, 0)
+	if len(w.open) != 0 {
+		t.Fatal("asked again at once")
+	}
+	w.step(100_000)
+	if sentTo(w) != "g0n0" {
+		t.Fatal("not asked again later")
+	}
+}
+
+// Long reads of any age keep to one replica, so that the others go on applying the log.
+func TestLongReadsKeepToOneReplica(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 4)
+	w.r.group.usual[gLong] = 10 * w.r.group.usual[gAny]
+	at := map[string]bool{}
+	for i := range 12 {
+		w.arrive(fmt.Sprint("c", i), gLong, 0, 6e6, 0)
+		for _, f := range w.open {
+			at[f.node] = true
+		}
+		serve(w, nil)
+	}
+	if len(at) != 1 || at["g0n0"] {
+		t.Fatal("long reads went to", at)
+	}
+}
+
+// A silent primary gets no more writes; they wait and go to the successor, which the router looks for.
+func TestSilentPrimary(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 3)
+	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
+	w.tell("g0n0", Primary, 0)
+	w.arrive("trapped", gMutating, 0, 4e6, 0)
+	for range 60 {
+		w.step(20_000)
+	}
+	w.arrive("held", gMutating, 0, 4e6, 0)
+	if w.cmds["held"].sent != 0 || len(w.probes) == 0 {
+		t.Fatal("sent to a silent primary, or no one asked for the next")
+	}
+	w.r.Seen(w.now, "g0n2", 0, Primary, 0)
+	w.tell("g0n2", Primary, 0)
+	w.r.Probed(w.now, "g0n2", 1_000, Answered)
+	if c := w.cmds["held"]; c.sent != 1 || w.open[len(w.open)-1].node != "g0n2" {
+		t.Fatal("not sent to the successor")
+	}
+}
+
+// A tenant over its share waits behind the others and takes only the spare half of a node.
+func TestShareIsTakenOnce(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.r.Tenant(2)
+	w.r.Shares(0.05)
+	w.list(1, 2)
+	w.step(1_000_000)
+	w.r.tenant.left[0] = 2
+	c := &cmd{id: "a", group: gAny, tenant: 0, deadline: w.now + 1e6}
+	w.cmds["a"] = &taken{deadline: w.now + 1e6}
+	w.r.tenant.leftAt[0] = w.now
+	w.r.admit(c, w.now)
+	w.r.admit(c, w.now)
+	if w.r.tenant.left[0] != 1 || c.value != 1 {
+		t.Fatal("the share was taken more than once", w.r.tenant.left[0], c.value)
+	}
+	w.r.giveUp(c)
+	if w.r.tenant.left[0] != 2 {
+		t.Fatal("an unsent command kept its part of the share")
+	}
+}
+
+// A cold node's budget grows with work answered by its warm peers, never with work they turned away.
+func TestRefusedWorkIsNoMeasure(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 4)
+	w.started["g0n1"] = w.now
+	w.change("g0n1")
+	for i := range 300 {
+		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
+		for len(w.open) > 0 {
+			w.answer(0, Full, Replica, w.now)
+		}
+		w.step(5_000)
+	}
+	if n := len(w.cold["g0n1"]); n > 3 {
+		t.Fatalf("a cold node was sent %d with no work answered anywhere", n)
+	}
+}
