Fold late words on roles into one hint that proves nothing over an answer

Cause: a report as old as the sender likes could make a node that had answered as replica count as proof for session reads.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,9 +8,10 @@
 package route
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
-	"sort"
+	"slices"
 )
 
 const (
@@ -99,7 +100,7 @@
 }
 
 // ListNode is one entry of the list.
-func (r *Router) ListNode(now int64, id, zone, kind string, wire int, state State, lead bool, weight float64,
+func (r *Router) ListNode(now int64, id, zone, kind string, wire int, state State, lead bool,
 	started int64) {
 	s := &r.node
 	n, known := s.index[id]
@@ -120,14 +121,10 @@
 			r.told(n, Replica, now) // a process that started anew leads nothing it led before
 		}
 	}
-	newLead := lead && (!s.lead[n] || !known)
-	s.zone[n], s.kind[n], s.state[n], s.listed[n], s.weight[n], s.lead[n] = zone, kind, state, true, weight, lead
-	// The list's mark counts where nothing newer was heard: at the start, or on its change.
-	sh := s.shard[n]
-	p := r.shard.primary[sh]
-	doubted := s.role[n] == Replica && now-s.roleAt[n] < listDoubt
-	if newLead && !doubted && (p < 0 || s.roleAt[p] == 0 || now-s.roleAt[p] > listDoubt || s.suspect[p]) {
-		r.shard.primary[sh] = n
+	fresh := lead && !(known && s.lead[n])
+	s.zone[n], s.kind[n], s.state[n], s.listed[n], s.lead[n] = zone, kind, state, true, lead
+	if fresh { // the list's mark counts at the start and when it changes
+		r.hint(n, now)
 	}
 }
 
@@ -165,22 +162,33 @@
 	}
 }
 
-// ReportedRole is a role from a node's report; an answer's own role is newer.
+// ReportedRole is a role from a node's report. It proves a primary only where no answer spoke of the role.
 func (r *Router) ReportedRole(now int64, id string, lead bool) {
 	n, known := r.node.index[id]
-	if !known || now-r.node.roleAt[n] < listDoubt/5 {
+	switch {
+	case !known:
+	case lead:
+		if r.node.role[n] == RoleUnknown {
+			r.node.role[n] = Primary
+		}
+		r.hint(n, now)
+	case r.shard.primary[r.node.shard[n]] == n && now-r.node.roleAt[n] > listDoubt:
+		r.shard.primary[r.node.shard[n]] = -1
+	}
+}
+
+// hint takes a late word that a node leads: it counts where no answer has spoken lately. Guards against
+// lists and reports that lag behind a change or stand still; a true one may be passed over as long.
+func (r *Router) hint(n int, now int64) {
+	s, p := &r.node, r.shard.primary[r.node.shard[n]]
+	if s.role[n] == Replica && now-s.roleAt[n] < listDoubt {
 		return
 	}
-	if lead {
-		r.told(n, Primary, now)
-	} else if r.shard.primary[r.node.shard[n]] == n {
-		r.told(n, Replica, now)
+	if p < 0 || s.roleAt[p] == 0 || now-s.roleAt[p] > listDoubt || s.suspect[p] {
+		r.shard.primary[s.shard[n]] = n
 	}
 }
 
-// ReportedHeld is how many commands a node says it holds.
-func (r *Router) ReportedHeld(_ int64, _ string, _ float64) {}
-
 // told moves the belief in a group's primary.
 func (r *Router) told(n int, role Role, now int64) {
 	s, sh := &r.node, r.node.shard[n]
@@ -189,11 +197,10 @@
 	case role == Primary:
 		r.shard.headAt[sh] = now
 		if p := r.shard.primary[sh]; p != n {
-			r.shard.primary[sh] = n
-			s.lag[n] = 0
+			r.shard.primary[sh], s.lag[n] = n, 0
 			if p >= 0 {
 				s.role[p] = Replica
-				r.recall(p, now)
+				r.recall(p)
 			}
 		}
 	case r.shard.primary[sh] == n:
@@ -219,23 +226,24 @@
 
 // Arrive takes a command; the router owes it one final answer from here on.
 func (r *Router) Arrive(now int64, id string, group, tenant int, session string, left int64, wire int,
-	sinceWrite int64, _ bool) {
+	sinceWrite int64) {
 	g := &r.group
 	sh, known := r.shard.number[wire]
 	if !known {
 		sh = r.shard.add(wire)
 	}
 	c := &cmd{id: id, group: group, tenant: tenant, shard: sh, session: session, arrived: now,
-		deadline: now + left, target: now + g.targets[group], to: -1}
+		deadline: now + left}
 	if g.level[group] == Session && r.carried && sinceWrite > 0 {
 		c.need = now - sinceWrite
 	}
+	target := now + g.targets[group]
 	if g.longest[group] = max(g.longest[group], left); left < g.longest[group]-2*r.tick {
-		c.target -= g.timeout[group] - left // a later try of a client: all its tries share one target
+		target -= g.timeout[group] - left // a later try of a client: all its tries share one target
 	}
 	// Sent later than two usual responses before a limit, most answers would come after it.
 	need := int64(holdUsual * g.usual[group])
-	c.prime = max(now+int64(holdLeast*float64(g.targets[group])), c.target-need)
+	c.prime = max(now+int64(holdLeast*float64(g.targets[group])), target-need)
 	c.holdUntil = max(now+int64(holdLeast*float64(left)), c.deadline-need)
 	if g.level[group] != Write {
 		c.holdUntil = min(c.holdUntil, c.prime, now+int64(holdShare*float64(g.timeout[group])))
@@ -246,35 +254,26 @@
 }
 
 // down takes a command through the chain; a kept one waits, in order of value and age.
-func (r *Router) down(c *cmd, now int64) verdict {
+func (r *Router) down(c *cmd, now int64) {
 	for _, st := range r.chain {
-		switch v := st.down(c, now); v {
-		case keep:
-			if !c.held {
-				c.held = true
-				w := r.shard.waiting[c.shard]
-				i := sort.Search(len(w), func(i int) bool {
-					return w[i].value < c.value || w[i].value == c.value && w[i].arrived > c.arrived
-				})
-				w = append(w, nil)
-				copy(w[i+1:], w[i:])
-				w[i] = c
-				r.shard.waiting[c.shard] = w
-			}
-			return keep
-		case end:
-			return end
+		v := st.down(c, now)
+		if v == keep {
+			c.held = true
+			w := &r.shard.waiting[c.shard]
+			i, _ := slices.BinarySearchFunc(*w, c, func(o, c *cmd) int {
+				return cmp.Or(cmp.Compare(c.value, o.value), cmp.Compare(o.arrived, c.arrived), -1)
+			})
+			*w = slices.Insert(*w, i, c)
+		}
+		if v != pass {
+			return
 		}
 	}
-	return pass
 }
 
 // pump tries the waiting commands of a group again, in their order.
 func (r *Router) pump(sh int, now int64) {
 	w := r.shard.waiting[sh]
-	if len(w) == 0 {
-		return
-	}
 	r.shard.waiting[sh] = nil
 	for _, c := range w {
 		c.held = false
@@ -450,46 +449,43 @@
 	return s.rate[n]
 }
 
-// lead sends writes and reads that must be current to the believed primary, or keeps them for one.
+// lead sends writes and reads that must be current to the believed primary, or keeps them for one. While
+// none is known a write itself asks a member that answers: a miss leaves it untouched. After half its
+// dispatches it only waits.
 func (r *Router) lead(c *cmd, now int64) verdict {
-	if lv := r.group.level[c.group]; lv != Write && lv != Fresh {
+	lv, p := r.group.level[c.group], r.shard.primary[c.shard]
+	if lv != Write && lv != Fresh {
 		return pass
 	}
-	p := r.shard.primary[c.shard]
-	if p >= 0 && r.serves(p, now) && r.roomy(p, 1, c.group, now) {
-		c.to = p
-		return pass
+	c.to = p
+	if p < 0 || !r.serves(p, now) {
+		c.to = r.ask(c.shard, now)
+		if c.to < 0 || lv != Write || 2*len(c.tries) >= r.maxDispatches || !r.serves(c.to, now) ||
+			now-r.node.answered[c.to] > listDoubt {
+			return keep
+		}
 	}
-	if p >= 0 && r.serves(p, now) {
+	if lv == Fresh && r.node.role[c.to] != Primary || !r.roomy(c.to, 1, c.group, now) {
 		return keep
 	}
-	c.to = -1
-	if r.group.level[c.group] == Write && r.ask(c.shard, now) {
-		// No primary known: this write itself asks a member that answers; a miss leaves it untouched.
-		if n := r.shard.asked[c.shard]; n != p && r.serves(n, now) && r.roomy(n, 1, c.group, now) &&
-			2*len(c.tries) < r.maxDispatches && now-r.node.answered[n] < listDoubt {
-			c.to = n
-			return pass
-		}
-	}
-	return keep
+	return pass
 }
 
-// ask takes the next turn at asking a group's members for the primary.
-func (r *Router) ask(sh int, now int64) bool {
+// ask takes the next turn at asking a group's members for the primary: by probe where probes tell roles,
+// else it names the member to ask.
+func (r *Router) ask(sh int, now int64) int {
 	m := r.shard.members[sh]
 	if len(m) == 0 || now-r.shard.askedAt[sh] < askGap {
-		return false
+		return -1
 	}
 	r.shard.askedAt[sh] = now
 	r.shard.turn[sh]++
 	n := m[r.shard.turn[sh]%len(m)]
-	r.shard.asked[sh] = n
-	if r.probeRole {
-		r.probe(n, now)
-		return false
+	if !r.probeRole {
+		return n
 	}
-	return true
+	r.probe(n, now)
+	return -1
 }
 
 func (r *Router) probe(n int, now int64) {
@@ -793,7 +789,7 @@
 		since := max(first.c.tries[first.n].sent, s.answered[n])
 		if float64(now-since) > max(silenceLeast, silenceTimes*r.group.usual[first.c.group]*max(1, s.slow[n])) {
 			s.suspect[n] = true
-			r.recall(n, now)
+			r.recall(n)
 		}
 	}
 	if s.suspect[n] && now-s.probedAt[n] > suspectProbe || s.lag[n] > rotationLag && r.probePos &&
@@ -803,7 +799,7 @@
 }
 
 // recall calls off what may be repeated from a node that is silent or leads no longer.
-func (r *Router) recall(n int, now int64) {
+func (r *Router) recall(n int) {
 	for _, o := range r.node.open[n] {
 		if r.group.effect[o.c.group] == Replayable && r.node.suspect[n] ||
 			r.group.effect[o.c.group] == Keyed && r.shard.primary[o.c.shard] != n {
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -5,7 +5,7 @@
 	id                         string
 	group, tenant, shard       int
 	session                    string
-	arrived, target, deadline  int64
+	arrived, deadline          int64
 	holdUntil                  int64 // latest time at which it may still be waiting unsent
 	prime                      int64 // latest time for sending it that is likely to meet the target
 	need                       int64 // position its data must have reached; 0 for none
@@ -41,9 +41,8 @@
 	kind      []string
 	shard     []int
 	state     []State
-	listed    []bool // named by the list being read
-	lead      []bool // marked primary by the list
-	weight    []float64
+	listed    []bool  // named by the list being read
+	lead      []bool  // marked primary by the list
 	started   []int64 // last start, 0 for long ago
 	pos       []int64 // highest proven position
 	posAt     []int64 // when it was last told
@@ -79,7 +78,6 @@
 	s.state = append(s.state, Up)
 	s.listed = append(s.listed, false)
 	s.lead = append(s.lead, false)
-	s.weight = append(s.weight, 1)
 	s.started = append(s.started, 0)
 	s.pos = append(s.pos, 0)
 	s.posAt = append(s.posAt, 0)
@@ -149,7 +147,6 @@
 	primary []int   // believed primary, -1 for none
 	headAt  []int64 // when a primary last showed itself
 	askedAt []int64 // when a member was last asked for the primary
-	asked   []int   // whose turn it is to be asked
 	turn    []int   // rotation among equals
 	waiting [][]*cmd
 }
@@ -161,7 +158,6 @@
 	s.primary = append(s.primary, -1)
 	s.headAt = append(s.headAt, 0)
 	s.askedAt = append(s.askedAt, 0)
-	s.asked = append(s.asked, 0)
 	s.turn = append(s.turn, 0)
 	s.waiting = append(s.waiting, nil)
 	return n
