--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -28,6 +28,7 @@
 	holdLeast     = 0.1     // of the target: the wait that a read gets even where responses are slow
 	usualPart     = 0.25    // of the target: response time supposed before any is seen
 	usualGain     = 0.02    // smoothing of a group's usual response, ~50 answers
+	usualClip     = 3.0     // times the usual response that one answer counts at most
 	nodeGain      = 0.1     // smoothing of a node's figures, ~10 answers
 	fullRest      = 50_000  // us in which a node that turned work away gets none: some of its commands end
 	errGain       = 0.15    // smoothing of a node's error share, ~7 answers
@@ -38,7 +39,7 @@
 	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
 	limitCut      = 0.6     // limit lost by a late answer: six to one lets about one in seven be late
 	lateAt        = 0.8     // of the target: a response past it counts as late for the limit
-	longTimes     = 3.0     // times the shortest usual response: such a read holds up a replica's applying
+	longTimes     = 5.0     // times the shortest usual response: such a read holds up a replica's applying
 	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
 	equalSlack    = 1.15    // expected responses within 15% count as equal
 	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
@@ -704,7 +705,8 @@
 	switch o {
 	case Answered:
 		g.samples[c.group]++
-		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+4)) * (float64(took) - g.usual[c.group])
+		least := min(float64(took), usualClip*g.usual[c.group]) // a few huge commands do not make a usual one
+		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+4)) * (least - g.usual[c.group])
 		s.slow[at] += nodeGain * (min(10, float64(took)/g.usual[c.group]) - s.slow[at])
 		s.errs[at] -= errGain * s.errs[at]
 		r.rateOf(at, now)
