--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -725,6 +725,8 @@
 		s.limit[at], s.slowStart[at], s.restTill[at] = s.limit[at]*0.7, false, now+fullRest
 	case Unconnected:
 		s.suspect[at] = true
+	case TimedOut: // its client left unanswered: too much was there, as with a late answer
+		s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
 	}
 	s.limit[at] = min(mostLimit, max(leastLimit, s.limit[at]))
 }
