Judge short responses by the tightest target

Cause: commands with a wide target filled the lines in which those with a tight one then starved (catalogue reads 51% in time).

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -535,7 +535,7 @@
 	if c.value < r.group.benefit[c.group] {
 		share = spareShare // worth little: it must not fill the room that others will want
 	}
-	if r.long(c.group) && now < c.prime {
+	if r.group.level[c.group] == Any && now < c.prime && r.long(c.group) {
 		if n := r.aside(c.shard, now); n >= 0 {
 			c.to = n
 			if r.roomy(n, 1, c.group, now) && !c.tried(n) {
@@ -598,13 +598,13 @@
 	return pass
 }
 
-// long tells whether a command group runs many times longer than the shortest and takes any data.
+// long tells whether a command group runs many times longer than the shortest.
 func (r *Router) long(g int) bool {
 	least := r.group.usual[g]
 	for _, u := range r.group.usual {
 		least = min(least, u)
 	}
-	return r.group.level[g] == Any && r.group.usual[g] > longTimes*least
+	return r.group.usual[g] > longTimes*least
 }
 
 // aside is the replica that takes a group's long reads: one already out of rotation, else the first by
@@ -711,7 +711,11 @@
 		s.errs[at] -= errGain * s.errs[at]
 		r.rateOf(at, now)
 		s.rate[at] += g.usual[c.group] * 1e6 / rateSpan // only work done tells what a node can do
-		if float64(took) > lateAt*float64(g.targets[c.group]) {
+		target := g.targets[c.group]
+		if !r.long(c.group) { // all short commands stand in the same lines: the tightest target rules these
+			target = slices.Min(g.targets)
+		}
+		if float64(took) > lateAt*float64(target) {
 			s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
 		} else if float64(s.out[at])+1 > 0.7*s.limit[at] {
 			s.limit[at] += limitGrow
