--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -34,7 +34,7 @@
 	errGain       = 0.15    // smoothing of a node's error share, ~7 answers
 	errsBad       = 0.3     // error share that puts a node out of favour: far over chance, under a real fault
 	firstLimit    = 6.0     // commands in flight at a node not yet known: a few for each small machine
-	leastLimit    = 1.0     // a node in favour always gets one
+	leastLimit    = 0.5     // one command, then a rest of one usual response: many routers may share a small node
 	mostLimit     = 200.0   // keeps a limit that was never reached from running away
 	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
 	limitCut      = 0.6     // limit lost by a late answer: six to one lets about one in seven be late
@@ -403,7 +403,7 @@
 // roomy tells whether a node may take one more: its limit, and what a cold one may be sent.
 func (r *Router) roomy(n int, share float64, g int, now int64) bool {
 	s := &r.node
-	if float64(s.out[n])+1 > max(leastLimit, s.limit[n]*share) {
+	if float64(s.out[n])+1 > max(1, s.limit[n]*share) {
 		return false
 	}
 	if warmth := r.warmth(n, now); warmth < 1 {
@@ -733,6 +733,9 @@
 		s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
 	}
 	s.limit[at] = min(mostLimit, max(leastLimit, s.limit[at]))
+	if s.limit[at] < 1 { // one at a time is too much, for other routers use the node too: rests between
+		s.restTill[at] = max(s.restTill[at], now+int64(g.usual[c.group]*(1/s.limit[at]-1)))
+	}
 }
 
 // Result is how a dispatch ended; it runs through the chain upwards.
