Shorten the module, and let a read go again to a node that failed it

A read that had tried every replica waited for nothing; it may now try one again at four times the cost.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,8 +9,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/crc32"
 	"slices"
 )
 
@@ -41,6 +39,7 @@
 	lateAt        = 0.8     // of the target: a response past it counts as late for the limit
 	longTimes     = 5.0     // times the shortest usual response: such a read holds up a replica's applying
 	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
+	triedSlack    = 4.0     // times the best at which a read goes again to a node that failed it
 	equalSlack    = 1.15    // expected responses within 15% count as equal
 	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
 	coldPart      = 0.45    // of the multiple that pushes a cold node over: chance and work sizes take the rest
@@ -69,8 +68,7 @@
 func (r *Router) Start(now int64) {
 	r.chain = []stage{
 		{r.expire, r.settle},
-		{r.admit, nil},
-		{r.demand, r.remember},
+		{r.admit, r.remember},
 		{r.lead, r.follow},
 		{r.pick, r.judge},
 		{r.send, r.land},
@@ -81,15 +79,6 @@
 	r.act.Timer(sweepEvery, 0)
 }
 
-// chance draws a number below n.
-func (r *Router) chance(n int) int {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], r.seed)
-	binary.LittleEndian.PutUint64(b[8:], r.draw)
-	r.draw++
-	return int(crc32.ChecksumIEEE(b[:]) % uint32(n))
-}
-
 // ---- the node list ----
 
 // ListBegins starts a list; a full one drops the nodes that it does not name.
@@ -106,14 +95,9 @@
 	s := &r.node
 	n, known := s.index[id]
 	if !known {
-		sh, seen := r.shard.number[wire]
-		if !seen {
-			sh = r.shard.add(wire)
-			r.shard.turn[sh] = r.chance(1 << 16)
-		}
-		n = s.add(id)
-		s.shard[n], s.limit[n] = sh, firstLimit
-		r.shard.members[sh] = append(r.shard.members[sh], n)
+		n = s.add(id, r.shard.of(wire, r.chance))
+		s.limit[n] = firstLimit
+		r.shard.members[s.shard[n]] = append(r.shard.members[s.shard[n]], n)
 	}
 	if started != s.started[n] {
 		s.started[n], s.credit[n], s.creditAt[n] = started, 0, now
@@ -229,11 +213,7 @@
 func (r *Router) Arrive(now int64, id string, group, tenant int, session string, left int64, wire int,
 	sinceWrite int64) {
 	g := &r.group
-	sh, known := r.shard.number[wire]
-	if !known {
-		sh = r.shard.add(wire)
-	}
-	c := &cmd{id: id, group: group, tenant: tenant, shard: sh, session: session, arrived: now,
+	c := &cmd{id: id, group: group, tenant: tenant, shard: r.shard.of(wire, r.chance), session: session, arrived: now,
 		deadline: now + left}
 	if g.level[group] == Session && r.carried && sinceWrite > 0 {
 		c.need = now - sinceWrite
@@ -322,12 +302,8 @@
 		c.late = true
 		c.value *= r.group.lateWorth[c.group]
 	}
-	if now >= c.holdUntil && !c.mayHaveRun || now >= c.deadline-deadlineGuard ||
-		len(c.tries) >= r.maxDispatches {
-		r.giveUp(c)
-		return end
-	}
-	if r.group.effect[c.group] == Keyed && c.mayHaveRun && now-c.firstRun >= r.group.window[c.group]-r.tick {
+	if now >= c.holdUntil && !c.mayHaveRun || now >= c.deadline-deadlineGuard || len(c.tries) >= r.maxDispatches ||
+		r.group.effect[c.group] == Keyed && c.mayHaveRun && now-c.firstRun >= r.group.window[c.group]-r.tick {
 		r.giveUp(c)
 		return end
 	}
@@ -343,9 +319,7 @@
 		return
 	}
 	if !o.NeverRan() {
-		if sent := c.tries[n].sent; !c.mayHaveRun || sent < c.firstRun {
-			c.firstRun = sent
-		}
+		c.firstRun = min(c.tries[n].sent, cmp.Or(c.firstRun, c.tries[n].sent))
 		c.mayHaveRun = true
 	}
 	switch {
@@ -357,12 +331,17 @@
 	}
 }
 
-// admit sets a command's value: what lies over its tenant's share waits behind the rest.
+// admit sets, once, the position that a session read needs, and a command's value: what lies over its
+// tenant's share waits behind the rest. Guards against floods, retries among them; it harms a tenant whose
+// traffic reaches the routers unevenly.
 func (r *Router) admit(c *cmd, now int64) verdict {
 	if c.admitted {
 		return pass
 	}
 	c.admitted = true
+	if r.group.level[c.group] == Session && !r.carried {
+		c.need = r.token.get(c.session)
+	}
 	t := &r.tenant
 	c.value = r.group.benefit[c.group]
 	if c.tenant >= 0 && c.tenant < len(t.quota) && t.quota[c.tenant] > 0 {
@@ -379,14 +358,6 @@
 	return pass
 }
 
-// demand sets the position that a session read needs.
-func (r *Router) demand(c *cmd, _ int64) verdict {
-	if r.group.level[c.group] == Session && !r.carried {
-		c.need = max(c.need, r.token.get(c.session))
-	}
-	return pass
-}
-
 // remember keeps a write's position as its session's token.
 func (r *Router) remember(c *cmd, n int, o Outcome, _, now int64) {
 	if o == Answered && r.group.level[c.group] == Write && !r.carried && c.session != "" {
@@ -396,8 +367,12 @@
 
 // serves tells whether a node may be sent anything now.
 func (r *Router) serves(n int, now int64) bool {
-	s := &r.node
-	return (s.state[n] == Up || s.state[n] == Removed && r.droppedOpen) && !s.suspect[n] && now >= s.restTill[n]
+	return r.listed(n) && !r.node.suspect[n] && now >= r.node.restTill[n]
+}
+
+// listed tells whether the list lets a node be used.
+func (r *Router) listed(n int) bool {
+	return r.node.state[n] == Up || r.node.state[n] == Removed && r.droppedOpen
 }
 
 // roomy tells whether a node may take one more: its limit, and what a cold one may be sent.
@@ -428,7 +403,7 @@
 	rate, peers := 0.0, 0
 	for m := range s.id {
 		if m != n && s.kind[m] == s.kind[n] && r.warmth(m, now) == 1 && s.state[m] == Up {
-			rate += r.rateOf(m, now)
+			rate += s.rateAt(m, now, rateSpan)
 			peers++
 		}
 	}
@@ -440,16 +415,6 @@
 	s.creditAt[n] = now
 }
 
-// rateOf is the work that a node answered a second, lately, in us of usual response.
-func (r *Router) rateOf(n int, now int64) float64 {
-	s := &r.node
-	if gap := float64(now - s.rateAt[n]); gap > 0 {
-		s.rate[n] *= max(0, 1-gap/rateSpan)
-		s.rateAt[n] = now
-	}
-	return s.rate[n]
-}
-
 // lead sends writes and reads that must be current to the believed primary, or keeps them for one. While
 // none is known a write itself asks a member that answers: a miss leaves it untouched. After half its
 // dispatches it only waits.
@@ -490,7 +455,7 @@
 }
 
 func (r *Router) probe(n int, now int64) {
-	if s := &r.node; r.probes && !s.probing[n] && (s.state[n] == Up || r.droppedOpen && s.state[n] == Removed) {
+	if s := &r.node; r.probes && !s.probing[n] && r.listed(n) {
 		s.probing[n], s.probedAt[n] = true, now
 		r.act.Probe(s.id[n])
 	}
@@ -527,20 +492,15 @@
 	if lv := r.group.level[c.group]; lv == Write || lv == Fresh {
 		return pass
 	}
-	s, m := &r.node, r.shard.members[c.shard]
-	p := r.shard.primary[c.shard]
+	s, m, p, share := &r.node, r.shard.members[c.shard], r.shard.primary[c.shard], 1.0
 	r.shard.turn[c.shard]++
-	turn := r.shard.turn[c.shard]
-	share := 1.0
 	if c.value < r.group.benefit[c.group] {
 		share = spareShare // worth little: it must not fill the room that others will want
 	}
 	if r.group.level[c.group] == Any && now < c.prime && r.long(c.group) {
-		if n := r.aside(c.shard, now); n >= 0 {
-			c.to = n
-			if r.roomy(n, 1, c.group, now) && !c.tried(n) {
-				return pass
-			}
+		if c.to = r.aside(c.shard, now); c.to >= 0 && r.roomy(c.to, 1, c.group, now) {
+			return pass
+		} else if c.to >= 0 {
 			return keep
 		}
 	}
@@ -550,11 +510,8 @@
 	}
 	best, laggard, cost, proven := -1, -1, 0.0, false
 	for i := range m {
-		n := m[(turn+i)%len(m)]
-		if n == p || !r.serves(n, now) {
-			continue
-		}
-		if !r.fresh(n, c, now) {
+		n := m[(r.shard.turn[c.shard]+i)%len(m)]
+		if n == p || !r.serves(n, now) || !r.fresh(n, c, now) {
 			continue
 		}
 		if s.errs[n] > errsBad {
@@ -566,10 +523,9 @@
 			break
 		}
 		proven = proven || s.lag[n] <= rotationLag
-		if !r.roomy(n, share, c.group, now) || c.tried(n) {
+		if !r.roomy(n, share, c.group, now) {
 			continue
-		}
-		if s.lag[n] > rotationLag {
+		} else if s.lag[n] > rotationLag {
 			laggard = n
 			continue
 		}
@@ -577,6 +533,9 @@
 		if s.zone[n] != r.zone {
 			v *= zoneSlack
 		}
+		if c.tried(n) {
+			v *= triedSlack
+		}
 		if best < 0 || v*equalSlack < cost {
 			best, cost = n, v
 		}
@@ -588,23 +547,17 @@
 		(proven || now >= c.holdUntil-2*sweepEvery || r.pointless(c)) {
 		best = p
 	}
-	if best < 0 {
-		if !proven {
-			r.seek(c, now)
-		}
-		return keep
+	if c.to = best; best >= 0 {
+		return pass
+	} else if !proven {
+		r.seek(c, now)
 	}
-	c.to = best
-	return pass
+	return keep
 }
 
 // long tells whether a command group runs many times longer than the shortest.
 func (r *Router) long(g int) bool {
-	least := r.group.usual[g]
-	for _, u := range r.group.usual {
-		least = min(least, u)
-	}
-	return r.group.usual[g] > longTimes*least
+	return r.group.usual[g] > longTimes*slices.Min(r.group.usual)
 }
 
 // aside is the replica that takes a group's long reads: one already out of rotation, else the first by
@@ -629,15 +582,6 @@
 	return best
 }
 
-func (c *cmd) tried(n int) bool {
-	for _, t := range c.tries {
-		if t.node == n {
-			return true
-		}
-	}
-	return false
-}
-
 // pointless tells whether no replica can be expected at the position in the read's holding time.
 func (r *Router) pointless(c *cmd) bool {
 	for _, n := range r.shard.members[c.shard] {
@@ -677,10 +621,7 @@
 // send dispatches.
 func (r *Router) send(c *cmd, now int64) verdict {
 	s, n := &r.node, c.to
-	c.tries = append(c.tries, try{node: n, sent: now})
-	c.open++
-	s.out[n]++
-	s.open[n] = append(s.open[n], openTry{c, len(c.tries) - 1})
+	s.begin(c, n, now)
 	s.usualOut[n] += nodeGain * (float64(s.out[n]-1) - s.usualOut[n])
 	if r.warmth(n, now) < 1 {
 		s.credit[n] -= r.group.usual[c.group]
@@ -691,8 +632,6 @@
 
 // land closes a dispatch at its node.
 func (r *Router) land(c *cmd, n int, _ Outcome, _, _ int64) {
-	c.tries[n].ended = true
-	c.open--
 	r.node.close(c, n)
 }
 
@@ -709,8 +648,7 @@
 		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+4)) * (least - g.usual[c.group])
 		s.slow[at] += nodeGain * (min(10, float64(took)/g.usual[c.group]) - s.slow[at])
 		s.errs[at] -= errGain * s.errs[at]
-		r.rateOf(at, now)
-		s.rate[at] += g.usual[c.group] * 1e6 / rateSpan // only work done tells what a node can do
+		s.rate[at] = s.rateAt(at, now, rateSpan) + g.usual[c.group]*1e6/rateSpan // only work done tells a node's worth
 		target := g.targets[c.group]
 		if !r.long(c.group) { // all short commands stand in the same lines: the tightest target rules these
 			target = slices.Min(g.targets)
@@ -719,7 +657,7 @@
 			s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
 		} else if float64(s.out[at])+1 > 0.7*s.limit[at] {
 			s.limit[at] += limitGrow
-			if s.slowStart[at] {
+			if s.slowStart[at] { // until its first late answer a node's room is found five times as fast
 				s.limit[at] += 4 * limitGrow
 			}
 		}
@@ -744,9 +682,7 @@
 	if c == nil || n < 0 || n >= len(c.tries) || c.tries[n].ended {
 		return
 	}
-	if final && !c.done {
-		c.done = true
-	}
+	c.done = c.done || final
 	for i := len(r.chain) - 1; i >= 0; i-- {
 		if r.chain[i].up != nil {
 			r.chain[i].up(c, n, o, took, now)
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -1,5 +1,11 @@
 package route
 
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"slices"
+)
+
 // cmd is one command that the router owes a final answer, or whose dispatches are still out after it.
 type cmd struct {
 	id                         string
@@ -27,6 +33,11 @@
 	withdrawn bool
 }
 
+// tried tells whether a command has been sent to a node.
+func (c *cmd) tried(n int) bool {
+	return slices.ContainsFunc(c.tries, func(t try) bool { return t.node == n })
+}
+
 // openTry names a dispatch that is out at a node.
 type openTry struct {
 	c *cmd
@@ -63,18 +74,18 @@
 	probedAt  []int64
 	probing   []bool
 	rate      []float64 // work answered a second, in us, lately
-	rateAt    []int64
+	ratedAt   []int64
 	credit    []float64 // work a cold node may still be sent
 	creditAt  []int64
 }
 
-func (s *nodes) add(id string) int {
+func (s *nodes) add(id string, shard int) int {
 	n := len(s.id)
 	s.index[id] = n
 	s.id = append(s.id, id)
 	s.zone = append(s.zone, "")
 	s.kind = append(s.kind, "")
-	s.shard = append(s.shard, 0)
+	s.shard = append(s.shard, shard)
 	s.state = append(s.state, Up)
 	s.listed = append(s.listed, false)
 	s.lead = append(s.lead, false)
@@ -98,14 +109,31 @@
 	s.probedAt = append(s.probedAt, 0)
 	s.probing = append(s.probing, false)
 	s.rate = append(s.rate, 0)
-	s.rateAt = append(s.rateAt, 0)
+	s.ratedAt = append(s.ratedAt, 0)
 	s.credit = append(s.credit, 0)
 	s.creditAt = append(s.creditAt, 0)
 	return n
 }
 
+// rateAt is a node's rate now, having faded over a span.
+func (s *nodes) rateAt(n int, now int64, span float64) float64 {
+	s.rate[n] *= max(0, 1-float64(now-s.ratedAt[n])/span)
+	s.ratedAt[n] = now
+	return s.rate[n]
+}
+
+// begin notes that a command's next dispatch is out at a node.
+func (s *nodes) begin(c *cmd, n int, now int64) {
+	c.tries = append(c.tries, try{node: n, sent: now})
+	c.open++
+	s.out[n]++
+	s.open[n] = append(s.open[n], openTry{c, len(c.tries) - 1})
+}
+
 // close forgets that a dispatch is out at its node.
 func (s *nodes) close(c *cmd, n int) {
+	c.tries[n].ended = true
+	c.open--
 	at := c.tries[n].node
 	for i, o := range s.open[at] {
 		if o.c == c && o.n == n {
@@ -151,14 +179,18 @@
 	waiting [][]*cmd
 }
 
-func (s *shards) add(wire int) int {
+// of is the index of a node group; a new one starts its rotation by chance.
+func (s *shards) of(wire int, chance func(int) int) int {
+	if n, known := s.number[wire]; known {
+		return n
+	}
 	n := len(s.members)
 	s.number[wire] = n
 	s.members = append(s.members, nil)
 	s.primary = append(s.primary, -1)
 	s.headAt = append(s.headAt, 0)
 	s.askedAt = append(s.askedAt, 0)
-	s.turn = append(s.turn, 0)
+	s.turn = append(s.turn, chance(1<<16))
 	s.waiting = append(s.waiting, nil)
 	return n
 }
@@ -229,6 +261,15 @@
 	return r
 }
 
+// chance draws a number below n.
+func (r *Router) chance(n int) int {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], r.seed)
+	binary.LittleEndian.PutUint64(b[8:], r.draw)
+	r.draw++
+	return int(crc32.ChecksumIEEE(b[:]) % uint32(n))
+}
+
 // Place tells where the instance stands and how many of its kind there are.
 func (r *Router) Place(zone string, me, siblings int, tick int64) {
 	r.zone, r.me, r.siblings, r.tick = zone, me, max(siblings, 1), tick
