Serve the newest of equal waiting commands first

Cause: under overload, first come first served answers everyone just too late. It also guards against retry storms; it could harm where waits are short and even, which the hold limit bounds.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -242,7 +242,7 @@
 			c.held = true
 			w := &r.shard.waiting[c.shard]
 			i, _ := slices.BinarySearchFunc(*w, c, func(o, c *cmd) int {
-				return cmp.Or(cmp.Compare(c.value, o.value), cmp.Compare(o.arrived, c.arrived), -1)
+				return cmp.Or(cmp.Compare(c.value, o.value), cmp.Compare(c.arrived, o.arrived), -1)
 			})
 			*w = slices.Insert(*w, i, c)
 		}
