Send reads of any age to laggards first

Cause: under lag any-age reads crowded the replicas that session reads still could use, and session reads went to the primary. It could harm where laggards are also slow.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -526,7 +526,9 @@
 		if !r.roomy(n, share, c.group, now) {
 			continue
 		} else if s.lag[n] > rotationLag {
-			laggard = n
+			if laggard < 0 || s.out[n] < s.out[laggard] {
+				laggard = n
+			}
 			continue
 		}
 		v := s.slow[n] * (typical + float64(s.out[n])) / (typical + s.usualOut[n])
@@ -540,7 +542,7 @@
 			best, cost = n, v
 		}
 	}
-	if best < 0 {
+	if laggard >= 0 && (best < 0 || r.group.level[c.group] == Any) {
 		best = laggard
 	}
 	if best < 0 && p >= 0 && r.serves(p, now) && r.fresh(p, c, now) && r.roomy(p, spareShare, c.group, now) &&
