Take bounded reads past every replica's bound to the primary at once

Cause: whether waiting is pointless was judged by a read's token, and a bounded read has none, so it waited its whole hold while all replicas stood 8 to 20 s behind; board-view was served at 20%, the other groups at 60%. It could harm where a replica is about to catch up in one bound.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -474,15 +474,15 @@
 	if s.role[n] == Primary && r.shard.primary[c.shard] == n {
 		return true
 	}
-	switch r.group.level[c.group] {
-	case Any:
-		return true
-	case Session:
-		return c.need == 0 || s.pos[n] >= c.need
-	case Bounded:
-		return s.pos[n] >= now-r.group.bound[c.group]
+	return r.group.level[c.group] != Fresh && s.pos[n] >= r.needs(c, now)
+}
+
+// needs is the position that a read sent at a time must find; 0 where any will do.
+func (r *Router) needs(c *cmd, at int64) int64 {
+	if r.group.level[c.group] == Bounded {
+		return at - r.group.bound[c.group]
 	}
-	return false
+	return c.need
 }
 
 // pick chooses a read's member: a proven replica in rotation, own zone first, rotating among equals.
@@ -588,7 +588,7 @@
 func (r *Router) pointless(c *cmd) bool {
 	for _, n := range r.shard.members[c.shard] {
 		if r.node.state[n] == Up && !r.node.suspect[n] && n != r.shard.primary[c.shard] &&
-			c.need+r.node.lag[n] < c.holdUntil {
+			r.needs(c, c.holdUntil)+r.node.lag[n] < c.holdUntil {
 			return false
 		}
 	}
@@ -597,13 +597,10 @@
 
 // seek probes the likeliest replica for a held read.
 func (r *Router) seek(c *cmd, now int64) {
-	s, best, need := &r.node, -1, c.need
+	s, best, need := &r.node, -1, r.needs(c, now)
 	if !r.probePos {
 		return
 	}
-	if r.group.level[c.group] == Bounded {
-		need = now - r.group.bound[c.group]
-	}
 	for _, n := range r.shard.members[c.shard] {
 		if n == r.shard.primary[c.shard] || !r.serves(n, now) || now-s.probedAt[n] < probeGap || s.probing[n] {
 			continue
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -321,3 +321,18 @@
 		t.Fatalf("a cold node was sent %d with no work answered anywhere", n)
 	}
 }
+
+// Where every replica lags past a bounded read's bound, waiting is pointless and the primary takes it.
+func TestBoundedReadDoesNotWaitForLaggards(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 2)
+	for n, role := range map[string]Role{"g0n0": Primary, "g0n1": Replica} {
+		pos := w.now - 9_000_000
+		w.r.Seen(w.now, n, 0, role, pos)
+		w.tell(n, role, pos)
+	}
+	w.arrive("c", gBounded, 0, 1e6, 0)
+	if sentTo(w) != "g0n0" {
+		t.Fatal("not sent to the primary but", sentTo(w))
+	}
+}
