Count a dispatch that outlives eight usual responses as lost

Cause: some nodes swallow a part of what they are sent and answer the rest; each lost write held room at the primary until its timeout, and the limit fell to nothing. Guards against lossy links and stuck workers; it cuts a rare giant command, which then starts anew.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -21,6 +21,7 @@
 	rejoinGap     = 500_000 // us between probes or trial commands of a node out of favour: under 1% of its work
 	suspectProbe  = 250_000 // us between probes of a silent node: about a connect time-out
 	silenceTimes  = 4.0     // times a usual response; exponential work stays under it in 98 of 100 cases
+	lostTimes     = 8.0     // times a usual response; under one in 200 of the widest work outlives it
 	silenceLeast  = 250_000 // us; shorter silences are pauses that end before a move would help
 	holdUsual     = 2.0     // usual responses to leave before the target: seven in eight then end in time
 	holdLeast     = 0.1     // of the target: the wait that a read gets even where responses are slow
@@ -667,7 +668,9 @@
 	case Unconnected:
 		s.suspect[at] = true
 	case TimedOut: // its client left unanswered: too much was there, as with a late answer
-		s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
+		if !c.tries[n].lost {
+			s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
+		}
 	}
 	s.limit[at] = min(mostLimit, max(leastLimit, s.limit[at]))
 	if s.limit[at] < 1 { // one at a time is too much, for other routers use the node too: rests between
@@ -727,7 +730,9 @@
 
 // listen watches one node. Silence: work out and nothing back for several usual response times.
 // Guards against hangs, deaths, cuts and long pauses; should a node be merely slow, its reads move
-// for nothing and it rests until it answers.
+// for nothing and it rests until it answers. Loss: one dispatch outlives many usual responses while
+// others are answered. It counts as an error, holds no room, and is called off where it may be sent again.
+// Guards against networks and nodes that swallow a part; a rare giant command is cut and starts anew.
 func (r *Router) listen(n int, now int64) {
 	s := &r.node
 	if len(s.open[n]) > 0 && !s.suspect[n] {
@@ -738,6 +743,17 @@
 			r.recall(n)
 		}
 	}
+	for _, o := range s.open[n] {
+		long := max(silenceLeast, lostTimes*r.group.usual[o.c.group]*max(1, s.slow[n]))
+		if t := &o.c.tries[o.n]; !s.suspect[n] && !t.lost && float64(now-t.sent) > long {
+			t.lost = true
+			s.out[n]--
+			s.errs[n] += errGain * (1 - s.errs[n])
+			if r.group.effect[o.c.group] != Mutating {
+				r.callOff(o.c, o.n)
+			}
+		}
+	}
 	if s.suspect[n] && now-s.probedAt[n] > suspectProbe || s.lag[n] > rotationLag && r.probePos &&
 		now-s.probedAt[n] > rejoinGap {
 		r.probe(n, now)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -336,3 +336,28 @@
 		t.Fatal("not sent to the primary but", sentTo(w))
 	}
 }
+
+// A swallowed dispatch, while others are answered, holds no room and is sent again where that is allowed.
+func TestSwallowedDispatchIsSentAgain(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 2)
+	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
+	w.tell("g0n0", Primary, 0)
+	w.arrive("keyed", gKeyed, 0, 4e6, 0)
+	w.arrive("mutating", gMutating, 0, 4e6, 0)
+	for i := range 120 {
+		w.arrive(fmt.Sprint("c", i), gKeyed, 0, 4e6, 0)
+		w.step(20_000)
+		for j := len(w.open) - 1; j >= 0; j-- {
+			switch f := w.open[j]; {
+			case f.withdrawn:
+				w.answer(j, Withdrawn, RoleUnknown, 0)
+			case f.n > 0 || f.cmd != "keyed" && f.cmd != "mutating":
+				w.answer(j, Answered, Primary, 0)
+			}
+		}
+	}
+	if k, m := w.cmds["keyed"], w.cmds["mutating"]; !k.answered || m.sent != 1 || w.r.node.out[0] != 0 {
+		t.Fatal("keyed answered:", k.answered, "mutating sent:", m.sent, "room held:", w.r.node.out[0])
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -31,6 +31,7 @@
 	sent      int64
 	ended     bool
 	withdrawn bool
+	lost      bool // given up at its node: it holds no room there
 }
 
 // tried tells whether a command has been sent to a node.
@@ -138,7 +139,9 @@
 	for i, o := range s.open[at] {
 		if o.c == c && o.n == n {
 			s.open[at] = append(s.open[at][:i], s.open[at][i+1:]...)
-			s.out[at]--
+			if !c.tries[n].lost {
+				s.out[at]--
+			}
 			return
 		}
 	}
