--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -638,6 +638,11 @@
 // judge learns a node's pace, errors and limit from how a dispatch ended.
 func (r *Router) judge(c *cmd, n int, o Outcome, took, now int64) {
 	s, g, at := &r.node, &r.group, c.tries[n].node
+	target := g.targets[c.group]
+	if !r.long(c.group) { // all short commands stand in the same lines: the tightest target rules these
+		target = slices.Min(g.targets)
+	}
+	late := float64(took) > lateAt*float64(target) // a client that left sooner says nothing of the node
 	if o == Answered || o == Errored || o == Missed || o == Full {
 		s.answered[at], s.suspect[at] = now, false
 	}
@@ -649,13 +654,7 @@
 		s.slow[at] += nodeGain * (min(10, float64(took)/g.usual[c.group]) - s.slow[at])
 		s.errs[at] -= errGain * s.errs[at]
 		s.rate[at] = s.rateAt(at, now, rateSpan) + g.usual[c.group]*1e6/rateSpan // only work done tells a node's worth
-		target := g.targets[c.group]
-		if !r.long(c.group) { // all short commands stand in the same lines: the tightest target rules these
-			target = slices.Min(g.targets)
-		}
-		if float64(took) > lateAt*float64(target) {
-			s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
-		} else if float64(s.out[at])+1 > 0.7*s.limit[at] {
+		if !late && float64(s.out[at])+1 > 0.7*s.limit[at] {
 			s.limit[at] += limitGrow
 			if s.slowStart[at] { // until its first late answer a node's room is found five times as fast
 				s.limit[at] += 4 * limitGrow
@@ -667,10 +666,9 @@
 		s.limit[at], s.slowStart[at], s.restTill[at] = s.limit[at]*0.7, false, now+fullRest
 	case Unconnected:
 		s.suspect[at] = true
-	case TimedOut: // its client left unanswered: too much was there, as with a late answer
-		if !c.tries[n].lost {
-			s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
-		}
+	}
+	if late && !c.tries[n].lost && (o == Answered || o == TimedOut) {
+		s.limit[at], s.slowStart[at] = s.limit[at]-limitCut, false
 	}
 	s.limit[at] = min(mostLimit, max(leastLimit, s.limit[at]))
 	if s.limit[at] < 1 { // one at a time is too much, for other routers use the node too: rests between
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -326,8 +326,8 @@
 func TestBoundedReadDoesNotWaitForLaggards(t *testing.T) {
 	w := newWorld(t, 1, false)
 	w.list(1, 2)
-	for n, role := range map[string]Role{"g0n0": Primary, "g0n1": Replica} {
-		pos := w.now - 9_000_000
+	for i, role := range []Role{Primary, Replica} {
+		n, pos := fmt.Sprint("g0n", i), w.now-9_000_000
 		w.r.Seen(w.now, n, 0, role, pos)
 		w.tell(n, role, pos)
 	}
