--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -361,3 +361,18 @@
 		t.Fatal("keyed answered:", k.answered, "mutating sent:", m.sent, "room held:", w.r.node.out[0])
 	}
 }
+
+// A client that leaves early says nothing of the node: its limit stays.
+func TestEarlyTimeoutKeepsTheLimit(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 1)
+	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
+	w.tell("g0n0", Primary, 0)
+	for i := range 30 {
+		w.arrive(fmt.Sprint("c", i), gKeyed, 0, 100_000, 0)
+		w.step(100_000)
+	}
+	if w.r.node.limit[0] < firstLimit {
+		t.Fatal("the limit fell to", w.r.node.limit[0])
+	}
+}
