--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -278,3 +278,6 @@
 
 // Tell implements Actions.
 func (w *world) Tell(int, []byte) {}
+
+// Follow implements Actions.
+func (w *world) Follow() {}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -48,6 +48,7 @@
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
 	rateSpan      = 2e6     // us over which a node's sent work is averaged
 	listDoubt     = 5e6     // us for which an answer's role outweighs a late list
+	followGap     = 1e6     // us before a list that failed is asked for again: it may be overloaded
 	tokenMost     = 50_000  // sessions remembered in each of two generations
 	deadlineGuard = 40_000  // us before the client timeout at which a held command is answered: two beats
 )
@@ -77,6 +78,9 @@
 	for g := range r.group.usual {
 		r.group.usual[g] = usualPart * float64(r.group.targets[g])
 	}
+	if r.onRequest {
+		r.act.Follow()
+	}
 	r.act.Timer(sweepEvery, 0)
 }
 
@@ -126,6 +130,9 @@
 	}
 }
 
+// ListFailed tells that the list is no longer followed; the old one holds, and is asked for again soon.
+func (r *Router) ListFailed(now int64) { r.followAt = now + followGap }
+
 // ---- what nodes tell ----
 
 // Seen is a node's role and position in an answer; 0 for a position that it does not tell.
@@ -723,6 +730,10 @@
 	for sh := range r.shard.members {
 		r.pump(sh, now)
 	}
+	if r.onRequest && r.followAt > 0 && now >= r.followAt {
+		r.followAt = 0
+		r.act.Follow()
+	}
 	r.act.Timer(sweepEvery, 0)
 }
 
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -252,7 +252,9 @@
 	drainGrace              int64
 	droppedOpen             bool
 	peers                   bool
-	full                    bool // the list being read is a full one
+	onRequest               bool
+	followAt                int64 // when to ask for the list again, 0 for not
+	full                    bool  // the list being read is a full one
 	chain                   []stage
 }
 
@@ -337,5 +339,8 @@
 	r.drainGrace, r.droppedOpen = grace, droppedOpen
 }
 
+// Lists tells whether the node list comes only when asked for.
+func (r *Router) Lists(onRequest bool) { r.onRequest = onRequest }
+
 // Peers tells whether routers may send each other notes.
 func (r *Router) Peers(allowed bool) { r.peers = allowed }
--- a/internal/simwire/open.go
+++ b/internal/simwire/open.go
@@ -118,15 +118,12 @@
 		p.time(&n, "rules.fall"))
 	r.Drains(p.time(&n, "rules.stopSendingWithin"), p.on("rules.droppedStayOpen"))
 	r.Peers(p.on("limits.peerMessages"))
+	r.Lists(p.has("registryMode", "on_request"))
 	if n.err != nil {
 		return n.err
 	}
 	h.routers[o.name] = o
 	r.Start(h.clock)
-	if p.has("registryMode", "on_request") {
-		o.action("keep_informed")
-		h.reply = append(h.reply, " 1\n"...)
-	}
 	return nil
 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -275,6 +275,7 @@
 func (o *outlet) list(f [][]byte, n *reader) error {
 	kind := string(f[2])
 	if kind == "FAILED" {
+		o.router.ListFailed(o.h.clock)
 		return nil
 	}
 	if kind != "FULL" && kind != "SAVED" && kind != "INCREMENTAL" {
@@ -499,3 +500,10 @@
 	o.h.reply = hex.AppendEncode(o.h.reply, note)
 	o.end()
 }
+
+// Follow implements route.Actions.
+func (o *outlet) Follow() {
+	o.action("keep_informed")
+	o.word("1")
+	o.end()
+}
