--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -69,8 +69,8 @@
 )
 
 func newWorld(t testing.TB, seed uint64, second bool) *world {
-	w := &world{t: t, second: second, now: 1_000_000_000, drained: map[string]bool{}, started: map[string]int64{},
-		pos: map[string]int64{}, leads: map[string]bool{}, shard: map[string]int{}}
+	w := &world{t: t, second: second, now: 1_000_000_000,
+		drained: map[string]bool{}, started: map[string]int64{}, pos: map[string]int64{}, leads: map[string]bool{}, shard: map[string]int{}}
 	w.restart(seed)
 	return w
 }
@@ -131,7 +131,8 @@
 func (w *world) arrive(id string, group, shard int, left, since int64) *taken {
 	effects := []Effect{Replayable, Replayable, Replayable, Replayable, Keyed, Mutating, Replayable}
 	levels := []Read{Any, Bounded, Session, Fresh, Write, Write, Any}
-	c := &taken{effect: effects[group], level: levels[group], shard: shard, arrived: w.now, deadline: w.now + left}
+	c := &taken{effect: effects[group], level: levels[group], shard: shard, arrived: w.now,
+		deadline: w.now + left}
 	if c.level == Session && since > 0 {
 		c.need = w.now - since
 	}
@@ -190,7 +191,7 @@
 	}
 	for id, c := range w.cmds {
 		if !c.answered && !c.given && w.now > c.deadline+20_000 {
-			w.t.Fatalf("lost: %s has no final answer %d us after its timeout %+v %+v", id, w.now-c.deadline, c, w.r.cmds[id])
+			w.t.Fatalf("lost: %s unanswered %d us after its timeout: %+v", id, w.now-c.deadline, c)
 		}
 	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -33,7 +33,7 @@
 	errGain       = 0.15    // smoothing of a node's error share, ~7 answers
 	errsBad       = 0.3     // error share that puts a node out of favour: far over chance, under a real fault
 	firstLimit    = 6.0     // commands in flight at a node not yet known: a few for each small machine
-	leastLimit    = 0.5     // one command, then a rest of one usual response: many routers may share a small node
+	leastLimit    = 0.5     // one command, then a rest of one usual response: many may share a small node
 	mostLimit     = 200.0   // keeps a limit that was never reached from running away
 	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
 	limitCut      = 0.6     // limit lost by a late answer: six to one lets about one in seven be late
@@ -42,7 +42,7 @@
 	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
 	triedSlack    = 4.0     // times the best at which a read goes again to a node that failed it
 	equalSlack    = 1.15    // expected responses within 15% count as equal
-	spareShare    = 0.5     // of a primary's limit is open to reads; the rest is its writes'
+	spareShare    = 0.5     // of a node's limit is open to commands worth little, of a primary's to reads
 	coldPart      = 0.45    // of the multiple that pushes a cold node over: chance and work sizes take the rest
 	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
@@ -221,8 +221,8 @@
 func (r *Router) Arrive(now int64, id string, group, tenant int, session string, left int64, wire int,
 	sinceWrite int64) {
 	g := &r.group
-	c := &cmd{id: id, group: group, tenant: tenant, shard: r.shard.of(wire, r.chance), session: session, arrived: now,
-		deadline: now + left}
+	c := &cmd{id: id, group: group, tenant: tenant, shard: r.shard.of(wire, r.chance), session: session,
+		arrived: now, deadline: now + left}
 	if g.level[group] == Session && r.carried && sinceWrite > 0 {
 		c.need = now - sinceWrite
 	}
@@ -310,8 +310,8 @@
 		c.late = true
 		c.value *= r.group.lateWorth[c.group]
 	}
-	if now >= c.holdUntil && !c.mayHaveRun || now >= c.deadline-deadlineGuard || len(c.tries) >= r.maxDispatches ||
-		r.group.effect[c.group] == Keyed && c.mayHaveRun && now-c.firstRun >= r.group.window[c.group]-r.tick {
+	if now >= c.holdUntil && !c.mayHaveRun || now >= c.deadline-deadlineGuard ||
+		len(c.tries) >= r.maxDispatches || r.group.effect[c.group] == Keyed && c.mayHaveRun && now-c.firstRun >= r.group.window[c.group]-r.tick {
 		r.giveUp(c)
 		return end
 	}
@@ -660,7 +660,7 @@
 		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+4)) * (least - g.usual[c.group])
 		s.slow[at] += nodeGain * (min(10, float64(took)/g.usual[c.group]) - s.slow[at])
 		s.errs[at] -= errGain * s.errs[at]
-		s.rate[at] = s.rateAt(at, now, rateSpan) + g.usual[c.group]*1e6/rateSpan // only work done tells a node's worth
+		s.rate[at] = s.rateAt(at, now, rateSpan) + g.usual[c.group]*1e6/rateSpan // only work done tells
 		if !late && float64(s.out[at])+1 > 0.7*s.limit[at] {
 			s.limit[at] += limitGrow
 			if s.slowStart[at] { // until its first late answer a node's room is found five times as fast
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -7,8 +7,9 @@
 )
 
 const opening = "clock 1000.0 1\nopen_instance router/0 7 az=a me=0 siblings=1 round=5.0 classes.count=2 " +
-	"classes.0.name=look classes.0.effect=safe classes.0.aim=100.0 classes.0.hardLimit=400.0 classes.0.points=1.0 " +
-	"classes.1.name=put classes.1.effect=unsafe classes.1.aim=100.0 classes.1.hardLimit=400.0 classes.1.points=1.0 " +
+	"classes.0.name=look classes.0.effect=safe classes.0.aim=100.0 classes.0.hardLimit=400.0 " +
+	"classes.0.points=1.0 classes.1.name=put classes.1.effect=unsafe classes.1.aim=100.0 " +
+	"classes.1.hardLimit=400.0 classes.1.points=1.0 " +
 	"domain.readLevel=any,write domain.listRole=late limits.maxAttempts=3 unknown.key=x\n" +
 	"inventory 3 2\nm node_a a 1 k 0 up 1 -\nm node_b a 0 k 0 up 1 -\npeers_known router/0 SAVED 1 3\n"
 
@@ -64,7 +65,8 @@
 func FuzzServe(f *testing.F) {
 	f.Add(opening + "eob\n")
 	f.Add(opening + "req router/0 r-1 look - - 300.5 - 0 - 0\neob\nclock 1400.0 2\nelapsed router/0 0\neob\n")
-	f.Add(opening + "checked router/0 node_a 1.0 1 x0:1.5,x1:1\nnote_from router/0 1 00ff\nstarted router/0 r 0 node_a 1\neob\n")
+	f.Add(opening + "checked router/0 node_a 1.0 1 x0:1.5,x1:1\nnote_from router/0 1 00ff\n" +
+		"started router/0 r 0 node_a 1\neob\n")
 	f.Add("clock - -\neob\n\n")
 	f.Fuzz(func(t *testing.T, in string) {
 		out, err := serve(t, in)
