--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -311,7 +311,8 @@
 		c.value *= r.group.lateWorth[c.group]
 	}
 	if now >= c.holdUntil && !c.mayHaveRun || now >= c.deadline-deadlineGuard ||
-		len(c.tries) >= r.maxDispatches || r.group.effect[c.group] == Keyed && c.mayHaveRun && now-c.firstRun >= r.group.window[c.group]-r.tick {
+		len(c.tries) >= r.maxDispatches || r.group.effect[c.group] == Keyed && c.mayHaveRun &&
+		now-c.firstRun >= r.group.window[c.group]-r.tick {
 		r.giveUp(c)
 		return end
 	}
