--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -70,7 +70,8 @@
 
 func newWorld(t testing.TB, seed uint64, second bool) *world {
 	w := &world{t: t, second: second, now: 1_000_000_000,
-		drained: map[string]bool{}, started: map[string]int64{}, pos: map[string]int64{}, leads: map[string]bool{}, shard: map[string]int{}}
+		drained: map[string]bool{}, started: map[string]int64{}, pos: map[string]int64{},
+		leads: map[string]bool{}, shard: map[string]int{}}
 	w.restart(seed)
 	return w
 }
