Remember what nodes did when warm for the budget of cold ones

Cause: in a rolling release every node of a kind had just started, no warm peer was left to go by, and all got the trickle of an unknown capacity. Told from overload by idle nodes. It could harm where nodes come back smaller under the same kind.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -405,14 +405,15 @@
 	return 1
 }
 
-// refill gives a cold node the part of a warm peer's work that its warmth allows. Guards rule four
-// against any mix of routers, for each sends a part of what it alone sends a warm peer.
+// refill gives a cold node the part of what nodes of its kind did when warm that its warmth allows. Guards
+// rule four against any mix of routers, for each sends a part of what it alone had answered; what was seen
+// is kept, for a whole group may start cold at once. A router that has seen nothing warm sends next to none.
 func (r *Router) refill(n, g int, warmth float64, now int64) {
 	s := &r.node
 	rate, peers := 0.0, 0
 	for m := range s.id {
-		if m != n && s.kind[m] == s.kind[n] && r.warmth(m, now) == 1 && s.state[m] == Up {
-			rate += s.rateAt(m, now, rateSpan)
+		if s.kind[m] == s.kind[n] && s.warmRate[m] > 0 {
+			rate += s.warmRate[m]
 			peers++
 		}
 	}
@@ -727,6 +728,9 @@
 	s := &r.node
 	for n := range s.id {
 		r.listen(n, now)
+		if s.state[n] == Up && !s.suspect[n] && r.warmth(n, now) == 1 {
+			s.warmRate[n] += sweepEvery / rateSpan * (s.rateAt(n, now, rateSpan) - s.warmRate[n])
+		}
 	}
 	for sh := range r.shard.members {
 		r.pump(sh, now)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -376,3 +376,26 @@
 		t.Fatal("the limit fell to", w.r.node.limit[0])
 	}
 }
+
+// A group that starts cold all at once is fed by what its nodes did when warm, not by a trickle.
+func TestColdGroupIsFedFromMemory(t *testing.T) {
+	w := newWorld(t, 1, false)
+	w.list(1, 3)
+	sent := 0
+	for i := range 800 {
+		if i == 400 {
+			for n := range 3 {
+				w.started[fmt.Sprint("g0n", n)] = w.now
+				w.change(fmt.Sprint("g0n", n))
+			}
+			sent = 0
+		}
+		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
+		w.step(20_000)
+		sent += len(w.open)
+		serve(w, nil)
+	}
+	if sent < 280 {
+		t.Fatalf("a cold group was sent %d commands in eight seconds", sent)
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -76,6 +76,7 @@
 	probing   []bool
 	rate      []float64 // work answered a second, in us, lately
 	ratedAt   []int64
+	warmRate  []float64 // the same as it mostly was while the node was warm
 	credit    []float64 // work a cold node may still be sent
 	creditAt  []int64
 }
@@ -111,6 +112,7 @@
 	s.probing = append(s.probing, false)
 	s.rate = append(s.rate, 0)
 	s.ratedAt = append(s.ratedAt, 0)
+	s.warmRate = append(s.warmRate, 0)
 	s.credit = append(s.credit, 0)
 	s.creditAt = append(s.creditAt, 0)
 	return n
