Drop the settings that nothing reads

Second copies, throttling advice, check kinds, list-role kinds, fall window and drain grace reached the module and decided nothing: it sends nothing new to a leaving node at once, treats every node as unchecked and never has two dispatches of a command out.

--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -81,7 +81,7 @@
 	w.cmds, w.open, w.probes, w.timers = map[string]*taken{}, nil, nil, nil
 	w.pos, w.leads, w.cold = map[string]int64{}, map[string]bool{}, map[string][]int64{}
 	r := New(seed, w)
-	r.Place("here", 0, 1, 5_000)
+	r.Place("here", 1, 5_000)
 	for _, g := range []struct {
 		e Effect
 		l Read
@@ -90,13 +90,11 @@
 		{Keyed, Write, 4e6}, {Mutating, Write, 4e6}, {Replayable, Any, 6e6}} {
 		r.Group(g.e, false, g.l, modelBound, modelWindow, g.t/4, g.t, 1, 0.5)
 	}
-	r.Dispatches(6, w.second, true)
-	r.Throttles(true, 500_000)
+	r.Dispatches(6, true)
 	r.Probes(true, true, true)
-	r.Positions(true, true, true, 0)
-	r.Roles(RolesLate)
-	r.ColdStart(modelCold, modelFrom, 2, modelFall)
-	r.Drains(1e6, false)
+	r.Tokens(true)
+	r.ColdStart(modelCold, modelFrom, 2)
+	r.Drains(false)
 	w.r = r
 	r.Start(w.now)
 }
--- a/internal/route/iface.go
+++ b/internal/route/iface.go
@@ -83,13 +83,3 @@
 	Draining
 	Removed
 )
-
-// ListRole is what the node list's primary mark is worth.
-type ListRole uint8
-
-// The kinds of primary mark: none, as the day began, or some seconds late.
-const (
-	RolesAbsent ListRole = iota
-	RolesAtStart
-	RolesLate
-)
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -227,9 +227,9 @@
 	seed uint64
 	draw uint64
 
-	zone         string
-	me, siblings int
-	tick         int64
+	zone     string
+	siblings int
+	tick     int64
 
 	node   nodes
 	group  groups
@@ -238,26 +238,18 @@
 	token  tokens
 	cmds   map[string]*cmd
 
-	maxDispatches           int
-	secondCopies, withdraws bool
-	advice                  bool
-	maxAdvice               int64
-	probes                  bool
-	probePos, probeRole     bool
-	answerPos, carried      bool
-	unchecked               bool
-	catchUp                 int64
-	listRole                ListRole
-	coldFor                 int64
-	coldFrom, fallMultiple  float64
-	fallFor                 int64
-	drainGrace              int64
-	droppedOpen             bool
-	peers                   bool
-	onRequest               bool
-	followAt                int64 // when to ask for the list again, 0 for not
-	full                    bool  // the list being read is a full one
-	chain                   []stage
+	maxDispatches          int
+	withdraws              bool
+	probes                 bool
+	probePos, probeRole    bool
+	carried                bool
+	coldFor                int64
+	coldFrom, fallMultiple float64
+	droppedOpen            bool
+	onRequest              bool
+	followAt               int64 // when to ask for the list again, 0 for not
+	full                   bool  // the list being read is a full one
+	chain                  []stage
 }
 
 // New makes an instance; the calls below it hand each part its values before Start.
@@ -277,9 +269,9 @@
 	return int(crc32.ChecksumIEEE(b[:]) % uint32(n))
 }
 
-// Place tells where the instance stands and how many of its kind there are.
-func (r *Router) Place(zone string, me, siblings int, tick int64) {
-	r.zone, r.me, r.siblings, r.tick = zone, me, max(siblings, 1), tick
+// Place tells where the instance stands, how many of its kind there are, and its tick.
+func (r *Router) Place(zone string, siblings int, tick int64) {
+	r.zone, r.siblings, r.tick = zone, max(siblings, 1), tick
 }
 
 // Group adds a command group; groups are numbered in this order.
@@ -310,39 +302,24 @@
 // Shares tells what a command over its tenant's share is worth.
 func (r *Router) Shares(overWorth float64) { r.tenant.overWorth = overWorth }
 
-// Dispatches tells how many dispatches a command may have and what may be done with them.
-func (r *Router) Dispatches(most int, secondCopies, withdraws bool) {
-	r.maxDispatches, r.secondCopies, r.withdraws = most, secondCopies, withdraws
-}
-
-// Throttles tells whether advice to come back later reaches clients, and how much of it.
-func (r *Router) Throttles(advice bool, most int64) { r.advice, r.maxAdvice = advice, most }
+// Dispatches tells how many dispatches a command may have and whether they can be withdrawn.
+func (r *Router) Dispatches(most int, withdraws bool) { r.maxDispatches, r.withdraws = most, withdraws }
 
 // Probes tells whether nodes may be probed and what a probe shows.
 func (r *Router) Probes(allowed, position, role bool) {
 	r.probes, r.probePos, r.probeRole = allowed, position, role
 }
 
-// Positions tells where positions and tokens come from and whether nodes check them unasked.
-func (r *Router) Positions(inAnswers, carried, unchecked bool, catchUp int64) {
-	r.answerPos, r.carried, r.unchecked, r.catchUp = inAnswers, carried, unchecked, catchUp
-}
-
-// Roles tells what the list's primary mark is worth.
-func (r *Router) Roles(kind ListRole) { r.listRole = kind }
+// Tokens tells whether clients carry their sessions' tokens; else the router remembers them.
+func (r *Router) Tokens(carried bool) { r.carried = carried }
 
-// ColdStart tells how cold a node starts, for how long, and what pushes it over.
-func (r *Router) ColdStart(length int64, from, multiple float64, window int64) {
-	r.coldFor, r.coldFrom, r.fallMultiple, r.fallFor = length, from, multiple, window
+// ColdStart tells how cold a node starts, for how long, and the multiple that pushes it over.
+func (r *Router) ColdStart(length int64, from, multiple float64) {
+	r.coldFor, r.coldFrom, r.fallMultiple = length, from, multiple
 }
 
-// Drains tells the grace after which a leaving node gets nothing new.
-func (r *Router) Drains(grace int64, droppedOpen bool) {
-	r.drainGrace, r.droppedOpen = grace, droppedOpen
-}
+// Drains tells whether nodes that vanished without draining may still be used.
+func (r *Router) Drains(droppedOpen bool) { r.droppedOpen = droppedOpen }
 
 // Lists tells whether the node list comes only when asked for.
 func (r *Router) Lists(onRequest bool) { r.onRequest = onRequest }
-
-// Peers tells whether routers may send each other notes.
-func (r *Router) Peers(allowed bool) { r.peers = allowed }
--- a/internal/simwire/open.go
+++ b/internal/simwire/open.go
@@ -70,7 +70,7 @@
 	o.zero = p.time(&n, "domain.countedFrom")
 	r := route.New(seed, o)
 	o.router = r
-	r.Place(p["az"], int(p.num(&n, "me")), int(p.num(&n, "siblings")), p.time(&n, "round"))
+	r.Place(p["az"], int(p.num(&n, "siblings")), p.time(&n, "round"))
 	levels, bounds := p.list("domain.readLevel"), p.list("domain.oldestData")
 	for i := range int(p.num(&n, "classes.count")) {
 		at := "classes." + strconv.Itoa(i) + "."
@@ -92,8 +92,7 @@
 		r.Tenant(p.float(&n, at+"quotaPerS"))
 	}
 	r.Shares(p.float(&n, "overShareWorth"))
-	r.Dispatches(int(p.num(&n, "limits.maxAttempts")), p.on("limits.secondCopies"), p.on("limits.cancel"))
-	r.Throttles(p.on("limits.retryAfter"), p.time(&n, "limits.maxRetryAfter"))
+	r.Dispatches(int(p.num(&n, "limits.maxAttempts")), p.on("limits.cancel"))
 	fields := p.list("report.fields")
 	reports := func(name string) bool {
 		for _, one := range fields {
@@ -104,20 +103,9 @@
 		return false
 	}
 	r.Probes(p.on("limits.probes"), reports("x0"), reports("x1"))
-	r.Positions(p.on("domain.positions"), p.has("domain.writeMarks", "carried"), p.has("domain.checks", "none"),
-		p.time(&n, "domain.catchUpWait"))
-	roles := route.RolesAbsent
-	switch p["domain.listRole"] {
-	case "late":
-		roles = route.RolesLate
-	case "start":
-		roles = route.RolesAtStart
-	}
-	r.Roles(roles)
-	r.ColdStart(p.time(&n, "rules.cold"), p.float(&n, "rules.coldFrom"), p.float(&n, "rules.fallMultiple"),
-		p.time(&n, "rules.fall"))
-	r.Drains(p.time(&n, "rules.stopSendingWithin"), p.on("rules.droppedStayOpen"))
-	r.Peers(p.on("limits.peerMessages"))
+	r.Tokens(p.has("domain.writeMarks", "carried"))
+	r.ColdStart(p.time(&n, "rules.cold"), p.float(&n, "rules.coldFrom"), p.float(&n, "rules.fallMultiple"))
+	r.Drains(p.on("rules.droppedStayOpen"))
 	r.Lists(p.has("registryMode", "on_request"))
 	if n.err != nil {
 		return n.err
