--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -11,7 +11,6 @@
 	t       testing.TB
 	r       *Router
 	now     int64
-	second  bool
 	drained map[string]bool
 	started map[string]int64
 	pos     map[string]int64  // highest position told
@@ -37,7 +36,6 @@
 	ran             bool
 	firstRun        int64
 	answered, given bool
-	retryIn         int64
 }
 
 type flight struct {
@@ -68,8 +66,8 @@
 	gLong
 )
 
-func newWorld(t testing.TB, seed uint64, second bool) *world {
-	w := &world{t: t, second: second, now: 1_000_000_000,
+func newWorld(t testing.TB, seed uint64) *world {
+	w := &world{t: t, now: 1_000_000_000,
 		drained: map[string]bool{}, started: map[string]int64{}, pos: map[string]int64{},
 		leads: map[string]bool{}, shard: map[string]int{}}
 	w.restart(seed)
@@ -154,12 +152,17 @@
 		c.answered, final = true, true
 	}
 	if o != TimedOut && o != Unconnected && o != Broken && o != Withdrawn && o != Unsent {
-		w.tell(f.node, role, pos)
-		w.r.Seen(w.now, f.node, w.now-f.sent, role, pos)
+		w.seen(f.node, w.now-f.sent, role, pos)
 	}
 	w.r.Result(w.now, f.cmd, f.node, f.n, o, w.now-f.sent, final)
 }
 
+// seen tells the model and the module what a node said of itself in an answer.
+func (w *world) seen(node string, took int64, role Role, pos int64) {
+	w.tell(node, role, pos)
+	w.r.Seen(w.now, node, took, role, pos)
+}
+
 func (w *world) tell(node string, role Role, pos int64) {
 	w.pos[node] = max(w.pos[node], pos)
 	if role != RoleUnknown {
@@ -216,7 +219,7 @@
 		w.t.Fatalf("%s sent outside its group", id)
 	case w.drained[node]:
 		w.t.Fatalf("drain: %s sent to %s", id, node)
-	case !w.second && c.open > 0:
+	case c.open > 0:
 		w.t.Fatalf("effect: second copy of %s", id)
 	case c.effect == Mutating && (c.ran || c.open > 0):
 		w.t.Fatalf("effect: mutating %s sent twice", id)
@@ -253,10 +256,7 @@
 }
 
 // Throttle implements Actions.
-func (w *world) Throttle(id string, retryIn int64) {
-	w.final(id, true)
-	w.cmds[id].retryIn = retryIn
-}
+func (w *world) Throttle(id string, _ int64) { w.final(id, true) }
 
 // Fail implements Actions.
 func (w *world) Fail(id string) { w.final(id, false) }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -28,25 +28,31 @@
 	usualPart     = 0.25    // of the target: response time supposed before any is seen
 	usualGain     = 0.02    // smoothing of a group's usual response, ~50 answers
 	usualClip     = 3.0     // times the usual response that one answer counts at most
+	firstSamples  = 4.0     // answers that the response supposed at first weighs as much as
 	nodeGain      = 0.1     // smoothing of a node's figures, ~10 answers
 	fullRest      = 50_000  // us in which a node that turned work away gets none: some of its commands end
+	fullCut       = 0.7     // of its limit that is left to a node that turned work away
 	errGain       = 0.15    // smoothing of a node's error share, ~7 answers
 	errsBad       = 0.3     // error share that puts a node out of favour: far over chance, under a real fault
 	firstLimit    = 6.0     // commands in flight at a node not yet known: a few for each small machine
 	leastLimit    = 0.5     // one command, then a rest of one usual response: many may share a small node
 	mostLimit     = 200.0   // keeps a limit that was never reached from running away
 	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
+	firstGrow     = 0.4     // gained besides until a node's first late answer: room is found five times as fast
+	limitUsed     = 0.7     // of a limit in flight: it is in use, and an answer in time speaks for more
 	limitCut      = 0.6     // limit lost by a late answer: six to one lets about one in seven be late
 	lateAt        = 0.8     // of the target: a response past it counts as late for the limit
 	longTimes     = 5.0     // times the shortest usual response: such a read holds up a replica's applying
+	slowMost      = 10.0    // times the usual that one response counts for a node's pace
 	zoneSlack     = 1.5     // own zone is kept up to this many times the best expected response
 	triedSlack    = 4.0     // times the best at which a read goes again to a node that failed it
 	equalSlack    = 1.15    // expected responses within 15% count as equal
+	overLeast     = 1e-3    // of the benefit: what lies over a share still has an order
 	spareShare    = 0.5     // of a node's limit is open to commands worth little, of a primary's to reads
 	coldPart      = 0.45    // of the multiple that pushes a cold node over: chance and work sizes take the rest
 	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
-	rateSpan      = 2e6     // us over which a node's sent work is averaged
+	rateSpan      = 2e6     // us over which a node's answered work is averaged
 	listDoubt     = 5e6     // us for which an answer's role outweighs a late list
 	followGap     = 1e6     // us before a list that failed is asked for again: it may be overloaded
 	tokenMost     = 50_000  // sessions remembered in each of two generations
@@ -321,10 +327,7 @@
 
 // settle decides, after a dispatch ended without an answer, whether there is another.
 func (r *Router) settle(c *cmd, n int, o Outcome, _, now int64) {
-	if c.done {
-		if c.open == 0 {
-			delete(r.cmds, c.id)
-		}
+	if c.done { // Result finishes it
 		return
 	}
 	if !o.NeverRan() {
@@ -358,7 +361,7 @@
 		t.left[c.tenant] = min(q, t.left[c.tenant]+q*float64(now-t.leftAt[c.tenant])/1e6)
 		t.leftAt[c.tenant] = now
 		if t.left[c.tenant] < 1 {
-			c.value *= max(t.overWorth, 1e-3)
+			c.value *= max(t.overWorth, overLeast)
 		} else {
 			t.left[c.tenant]--
 			c.share = true
@@ -659,20 +662,20 @@
 	case Answered:
 		g.samples[c.group]++
 		least := min(float64(took), usualClip*g.usual[c.group]) // a few huge commands do not make a usual one
-		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+4)) * (least - g.usual[c.group])
-		s.slow[at] += nodeGain * (min(10, float64(took)/g.usual[c.group]) - s.slow[at])
+		g.usual[c.group] += max(usualGain, 1/(g.samples[c.group]+firstSamples)) * (least - g.usual[c.group])
+		s.slow[at] += nodeGain * (min(slowMost, float64(took)/g.usual[c.group]) - s.slow[at])
 		s.errs[at] -= errGain * s.errs[at]
 		s.rate[at] = s.rateAt(at, now, rateSpan) + g.usual[c.group]*1e6/rateSpan // only work done tells
-		if !late && float64(s.out[at])+1 > 0.7*s.limit[at] {
+		if !late && float64(s.out[at])+1 > limitUsed*s.limit[at] {
 			s.limit[at] += limitGrow
-			if s.slowStart[at] { // until its first late answer a node's room is found five times as fast
-				s.limit[at] += 4 * limitGrow
+			if s.slowStart[at] {
+				s.limit[at] += firstGrow
 			}
 		}
 	case Errored, Broken:
 		s.errs[at] += errGain * (1 - s.errs[at])
 	case Full: // a full line or a drain not yet listed: asking again at once only costs
-		s.limit[at], s.slowStart[at], s.restTill[at] = s.limit[at]*0.7, false, now+fullRest
+		s.limit[at], s.slowStart[at], s.restTill[at] = s.limit[at]*fullCut, false, now+fullRest
 	case Unconnected:
 		s.suspect[at] = true
 	}
@@ -693,9 +696,7 @@
 	}
 	c.done = c.done || final
 	for i := len(r.chain) - 1; i >= 0; i-- {
-		if r.chain[i].up != nil {
-			r.chain[i].up(c, n, o, took, now)
-		}
+		r.chain[i].up(c, n, o, took, now)
 	}
 	if c.done {
 		r.finish(c)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -9,15 +9,15 @@
 // FuzzRules plays generated events against the module; the model complains of any breach.
 func FuzzRules(f *testing.F) {
 	for seed := range uint64(24) {
-		f.Add(seed, uint8(seed*37), seed%2 == 0)
+		f.Add(seed, uint8(seed*37))
 	}
-	f.Fuzz(func(t *testing.T, seed uint64, mood uint8, second bool) { play(t, seed, mood, second, 4000) })
+	f.Fuzz(func(t *testing.T, seed uint64, mood uint8) { play(t, seed, mood, 4000) })
 }
 
 // play runs one generated day; mood sets how much goes wrong.
-func play(t testing.TB, seed uint64, mood uint8, second bool, steps int) {
+func play(t testing.TB, seed uint64, mood uint8, steps int) {
 	rnd := rand.New(rand.NewSource(int64(seed)))
-	w := newWorld(t, seed, second)
+	w := newWorld(t, seed)
 	const shards, members = 2, 4
 	primary := []string{"g0n0", "g1n0"}
 	lag, hung, served := map[string]int64{}, map[string]bool{}, map[string]int64{}
@@ -133,7 +133,7 @@
 
 func TestSameEventsSameActions(t *testing.T) {
 	run := func() string {
-		w := newWorld(t, 5, true)
+		w := newWorld(t, 5)
 		w.list(1, 5)
 		out := ""
 		for i := range 400 {
@@ -153,12 +153,10 @@
 
 // A replica past the rotation bound still serves what it is proven for when rotation has no room.
 func TestLaggardServesAnyRead(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 2)
-	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
-	w.tell("g0n0", Primary, 0)
-	w.r.Seen(w.now, "g0n1", 0, Replica, w.now-9_000_000)
-	w.tell("g0n1", Replica, w.now-9_000_000)
+	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n1", 0, Replica, w.now-9_000_000)
 	for i := range 20 {
 		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
 	}
@@ -175,12 +173,10 @@
 
 // A session read goes to a replica only once its position is proven, and waits for the proof.
 func TestSessionReadWaitsForProof(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 2)
-	w.r.Seen(w.now, "g0n1", 0, Replica, w.now-300_000)
-	w.tell("g0n1", Replica, w.now-300_000)
-	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
-	w.tell("g0n0", Primary, 0)
+	w.seen("g0n1", 0, Replica, w.now-300_000)
+	w.seen("g0n0", 0, Primary, 0)
 	w.arrive("c", gSession, 0, 1e6, 250_000)
 	if len(w.open) != 0 {
 		t.Fatal("sent unproven")
@@ -197,7 +193,7 @@
 
 // Slow responses must not refuse every read on arrival: nothing would be learned again.
 func TestSlowResponsesDoNotRefuseAll(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 3)
 	for i := range 100 {
 		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
@@ -213,14 +209,12 @@
 
 // A write is not sent when too little of its time is left for an answer.
 func TestNoWriteInItsLastMoments(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 3)
-	w.r.Seen(w.now, "g0n0", 0, Replica, 1)
-	w.tell("g0n0", Replica, 1)
+	w.seen("g0n0", 0, Replica, 1)
 	w.arrive("c", gMutating, 0, 2e6, 0)
 	w.step(1_950_000)
-	w.r.Seen(w.now, "g0n1", 0, Primary, 0)
-	w.tell("g0n1", Primary, 0)
+	w.seen("g0n1", 0, Primary, 0)
 	w.r.Probed(w.now, "g0n1", 1_000, Answered)
 	if c := w.cmds["c"]; c.sent != 0 || !c.given {
 		t.Fatal("sent with 50 ms left")
@@ -229,7 +223,7 @@
 
 // A node that turned work away is left alone for a moment instead of being asked ten times at once.
 func TestFullNodeRests(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 2)
 	w.arrive("c", gMutating, 0, 2e6, 0)
 	w.answer(0, Full, Primary, 0)
@@ -244,7 +238,7 @@
 
 // Long reads of any age keep to one replica, so that the others go on applying the log.
 func TestLongReadsKeepToOneReplica(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 4)
 	w.r.group.usual[gLong] = 10 * w.r.group.usual[gAny]
 	at := map[string]bool{}
@@ -262,10 +256,9 @@
 
 // A silent primary gets no more writes; they wait and go to the successor, which the router looks for.
 func TestSilentPrimary(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 3)
-	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
-	w.tell("g0n0", Primary, 0)
+	w.seen("g0n0", 0, Primary, 0)
 	w.arrive("trapped", gMutating, 0, 4e6, 0)
 	for range 60 {
 		w.step(20_000)
@@ -274,8 +267,7 @@
 	if w.cmds["held"].sent != 0 || len(w.probes) == 0 {
 		t.Fatal("sent to a silent primary, or no one asked for the next")
 	}
-	w.r.Seen(w.now, "g0n2", 0, Primary, 0)
-	w.tell("g0n2", Primary, 0)
+	w.seen("g0n2", 0, Primary, 0)
 	w.r.Probed(w.now, "g0n2", 1_000, Answered)
 	if c := w.cmds["held"]; c.sent != 1 || w.open[len(w.open)-1].node != "g0n2" {
 		t.Fatal("not sent to the successor")
@@ -284,7 +276,7 @@
 
 // A tenant over its share waits behind the others and takes only the spare half of a node.
 func TestShareIsTakenOnce(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.r.Tenant(2)
 	w.r.Shares(0.05)
 	w.list(1, 2)
@@ -306,7 +298,7 @@
 
 // A cold node's budget grows with work answered by its warm peers, never with work they turned away.
 func TestRefusedWorkIsNoMeasure(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 4)
 	w.started["g0n1"] = w.now
 	w.change("g0n1")
@@ -324,12 +316,11 @@
 
 // Where every replica lags past a bounded read's bound, waiting is pointless and the primary takes it.
 func TestBoundedReadDoesNotWaitForLaggards(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 2)
 	for i, role := range []Role{Primary, Replica} {
 		n, pos := fmt.Sprint("g0n", i), w.now-9_000_000
-		w.r.Seen(w.now, n, 0, role, pos)
-		w.tell(n, role, pos)
+		w.seen(n, 0, role, pos)
 	}
 	w.arrive("c", gBounded, 0, 1e6, 0)
 	if sentTo(w) != "g0n0" {
@@ -339,10 +330,9 @@
 
 // A swallowed dispatch, while others are answered, holds no room and is sent again where that is allowed.
 func TestSwallowedDispatchIsSentAgain(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 2)
-	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
-	w.tell("g0n0", Primary, 0)
+	w.seen("g0n0", 0, Primary, 0)
 	w.arrive("keyed", gKeyed, 0, 4e6, 0)
 	w.arrive("mutating", gMutating, 0, 4e6, 0)
 	for i := range 120 {
@@ -364,10 +354,9 @@
 
 // A client that leaves early says nothing of the node: its limit stays.
 func TestEarlyTimeoutKeepsTheLimit(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 1)
-	w.r.Seen(w.now, "g0n0", 0, Primary, 0)
-	w.tell("g0n0", Primary, 0)
+	w.seen("g0n0", 0, Primary, 0)
 	for i := range 30 {
 		w.arrive(fmt.Sprint("c", i), gKeyed, 0, 100_000, 0)
 		w.step(100_000)
@@ -379,7 +368,7 @@
 
 // A group that starts cold all at once is fed by what its nodes did when warm, not by a trickle.
 func TestColdGroupIsFedFromMemory(t *testing.T) {
-	w := newWorld(t, 1, false)
+	w := newWorld(t, 1)
 	w.list(1, 3)
 	sent := 0
 	for i := range 800 {
