--- /dev/null
+++ b/cmd/cairntiller/main.go
@@ -0,0 +1,179 @@
+// Command cairntiller is one router on sockets.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"cairntiller/internal/clients"
+	"cairntiller/internal/counters"
+	"cairntiller/internal/engine"
+	"cairntiller/internal/nodelist"
+	"cairntiller/internal/nodes"
+	"cairntiller/internal/opening"
+	"cairntiller/internal/route"
+)
+
+const (
+	memoryShare  = 0.7                    // of the memory limit at which the collector works harder
+	spareSockets = 32                     // descriptors for the listener, the poller, discovery and the runtime
+	clientShare  = 0.6                    // of the other descriptors for clients: a command in hand takes one at each side
+	moveAway     = 500 * time.Millisecond // after SIGTERM in which clients may still come: the front moves away in 0.4 s
+	lastWait     = 300 * time.Millisecond // for clients to read their last answers
+)
+
+// told is what the platform tells a router.
+type told struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        struct {
+		Cores    float64
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err := run(); err != nil {
+		slog.Error("cannot run", "err", err)
+		os.Exit(1)
+	}
+}
+
+func read() (t told, known *nodelist.List, values opening.Values, err error) {
+	path := os.Getenv("RELAY_CONFIG")
+	raw, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(raw, &t)
+	}
+	if err != nil {
+		return t, nil, nil, fmt.Errorf("RELAY_CONFIG %q: %w", path, err)
+	}
+	for name, at := range map[string]*string{"RELAY_NAME": &t.Name, "RELAY_LISTEN": &t.Listen,
+		"RELAY_DISCOVERY": &t.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*at = v
+		}
+	}
+	if t.Listen == "" || t.Discovery == "" {
+		return t, nil, nil, errors.New("no address to listen on, or none of discovery")
+	}
+	if values, err = opening.FromJSON(t.Settings); err != nil {
+		return t, nil, nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(t.Known) > 0 && string(t.Known) != "null" {
+		if known, err = nodelist.Decode(t.Known); err != nil {
+			return t, nil, nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return t, known, values, nil
+}
+
+func run() error {
+	t, known, values, err := read()
+	if err != nil {
+		return err
+	}
+	if t.Limits.Cores > 0 { // and one for the poller, which sits in the kernel most of the time
+		runtime.GOMAXPROCS(int(math.Ceil(t.Limits.Cores)) + 1)
+	}
+	if t.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(t.Limits.MemoryMB * memoryShare * (1 << 20)))
+	}
+	sockets := t.Limits.Sockets
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	forClients := int(float64(sockets-spareSockets) * clientShare)
+
+	now := engine.Clock()
+	e := engine.New(now)
+	r := route.New(seed(t.Seed), e)
+	limits := opening.Reader{Values: values}
+	connect, idle := limits.Time("limits.connectTimeout"), limits.Time("limits.connIdle")
+	names, err := values.Hand(r, connect)
+	if err = errors.Join(limits.Err, err); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	pool := nodes.New(now, e.Post, e.After, e, connect, idle, sockets-spareSockets-forClients)
+	e.Join(r, pool)
+	front := clients.New(now, e, names.Groups, names.Tenants, forClients)
+
+	ln, err := net.Listen("tcp", t.Listen)
+	if err != nil {
+		return err
+	}
+	index := int64(0)
+	listed := func(l *nodelist.List) {
+		e.Post(now(), func(now int64) {
+			e.Listed(now, l)
+			front.Open()
+		})
+	}
+	e.Post(now(), r.Start)
+	if known != nil {
+		index = known.Index
+		listed(known)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.Run()
+	go nodelist.Watch(ctx, t.Discovery, index, listed)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(ln) }()
+	slog.Info("serving", "name", t.Name, "listen", t.Listen, "sockets", sockets)
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	for {
+		select {
+		case err := <-served:
+			return fmt.Errorf("no longer listening: %w", err)
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				counters.Print(os.Stderr)
+				continue
+			}
+			slog.Info("leaving", "owed", e.Owed())
+			leave(e, front)
+			counters.Print(os.Stderr)
+			return nil
+		}
+	}
+}
+
+// leave goes on taking what still arrives while the front moves away, then ends each connection between
+// commands, and returns when nothing is owed.
+func leave(e *engine.Engine, front *clients.Front) {
+	time.Sleep(moveAway)
+	front.End()
+	for e.Owed() > 0 {
+		<-e.Idle()
+	}
+	front.Wait(lastWait)
+	e.Stop()
+	slog.Info("left")
+}
+
+// seed makes a number of the platform's word, whatever it looks like.
+func seed(word string) uint64 {
+	if n, err := strconv.ParseUint(word, 16, 64); err == nil {
+		return n
+	}
+	return uint64(crc32.ChecksumIEEE([]byte(word)))
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,346 @@
+// Package engine owns the decision module: one goroutine feeds it events in order, carries out its actions,
+// and keeps its timers and clock. Nothing that runs there blocks.
+package engine
+
+import (
+	"container/heap"
+	"strings"
+	"sync"
+	"time"
+
+	"cairntiller/internal/assert"
+	"cairntiller/internal/counters"
+	"cairntiller/internal/decimal"
+	"cairntiller/internal/exchange"
+	"cairntiller/internal/nodelist"
+	"cairntiller/internal/pgwire"
+	"cairntiller/internal/route"
+)
+
+var (
+	taken    = counters.New("commands taken")
+	doubles  = counters.New("commands with an id in hand")
+	untold   = counters.New("answers from unknown nodes")
+	lateFire = counters.New("timers late by 5 ms or more")
+	latest   = counters.New("latest timer, us")
+	queued   = counters.New("latest event, us")
+	lists    = counters.New("lists taken")
+)
+
+const lateFrom = 5_000 // us past its time from which a timer is counted as late: a hundredth of a target
+
+// Clock gives whole microseconds of Unix time that never go backwards: it is tied to Unix time once.
+func Clock() func() int64 {
+	start := time.Now()
+	zero := start.UnixMicro()
+	return func() int64 { return zero + time.Since(start).Microseconds() }
+}
+
+// Engine runs one router's decisions.
+type Engine struct {
+	now    func() int64
+	router *route.Router
+	nodes  exchange.Nodes
+	table  map[string]*exchange.Exchange
+	clock  int64 // time of the event being handled
+	timers timers
+	fields []string // what a node's report calls its figures
+
+	mu    sync.Mutex
+	queue []event
+	wake  chan struct{}
+	stop  bool
+	owed  int // commands without their final answer
+	idle  chan struct{}
+}
+
+type event struct {
+	at int64
+	do func(now int64)
+}
+
+type timers []event
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(event)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*t = old[:len(old)-1]
+	return last
+}
+
+// New makes an engine; the module and the nodes are set by Join before Run.
+func New(now func() int64) *Engine {
+	return &Engine{now: now, table: map[string]*exchange.Exchange{}, wake: make(chan struct{}, 1),
+		idle: make(chan struct{}, 1)}
+}
+
+// Join sets the module that decides and the nodes that carry.
+func (e *Engine) Join(r *route.Router, nodes exchange.Nodes) { e.router, e.nodes = r, nodes }
+
+// Post hands an event to the engine's goroutine; it never blocks.
+func (e *Engine) Post(at int64, do func(now int64)) {
+	e.mu.Lock()
+	e.queue = append(e.queue, event{at, do})
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// After asks for a call on the engine's goroutine; it is asked for there or before Run.
+func (e *Engine) After(in int64, do func(now int64)) {
+	heap.Push(&e.timers, event{max(e.clock, e.now()) + in, do})
+}
+
+// Run handles events until Stop.
+func (e *Engine) Run() {
+	alarm := time.NewTimer(0)
+	for {
+		e.mu.Lock()
+		batch := e.queue
+		e.queue = nil
+		stop := e.stop
+		e.mu.Unlock()
+		if stop {
+			return
+		}
+		for _, one := range batch {
+			queued.Peak(e.now() - one.at)
+			e.handle(one)
+		}
+		for now := e.now(); len(e.timers) > 0 && e.timers[0].at <= now; {
+			one := heap.Pop(&e.timers).(event)
+			if by := now - one.at; by >= lateFrom {
+				lateFire.Add()
+				latest.Peak(by)
+			}
+			e.handle(event{now, one.do})
+		}
+		if len(batch) > 0 {
+			continue // what has come meanwhile goes before sleep
+		}
+		if len(e.timers) > 0 {
+			alarm.Reset(time.Duration(max(0, e.timers[0].at-e.now())) * time.Microsecond)
+		}
+		select {
+		case <-e.wake:
+		case <-alarm.C:
+		}
+	}
+}
+
+// handle gives an event its time; the module's clock never goes backwards.
+func (e *Engine) handle(one event) {
+	e.clock = max(e.clock, one.at)
+	one.do(e.clock)
+}
+
+// Stop ends Run.
+func (e *Engine) Stop() {
+	e.mu.Lock()
+	e.stop = true
+	e.mu.Unlock()
+	e.Post(0, func(int64) {})
+}
+
+// Idle tells whenever no command is owed an answer any more.
+func (e *Engine) Idle() <-chan struct{} { return e.idle }
+
+// Owed is the number of commands without their final answer.
+func (e *Engine) Owed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owed
+}
+
+func (e *Engine) owe(by int) {
+	e.mu.Lock()
+	e.owed += by
+	none := e.owed == 0
+	e.mu.Unlock()
+	if none {
+		select {
+		case e.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Take implements exchange.Taker.
+func (e *Engine) Take(at int64, x *exchange.Exchange) {
+	e.owe(1)
+	e.Post(at, func(now int64) {
+		id := x.Command.ID
+		if e.table[id] != nil { // two commands under one id can't be told apart
+			doubles.Add()
+			x.Fail()
+			e.owe(-1)
+			return
+		}
+		taken.Add()
+		e.table[id] = x
+		since := int64(0)
+		if x.Command.After > 0 {
+			since = max(1, now-x.Command.After)
+		}
+		e.router.Arrive(now, id, x.Group, x.Tenant, x.Command.Session, x.Deadline-now, x.Command.Shard, since)
+	})
+}
+
+// Gone implements exchange.Taker.
+func (e *Engine) Gone(at int64, x *exchange.Exchange) {
+	e.Post(at, func(now int64) {
+		if x.Leave() {
+			e.router.Gone(now, x.Command.ID)
+			e.settled(x)
+		}
+	})
+}
+
+// settled notes a final answer; the exchange goes once no dispatch of it is out.
+func (e *Engine) settled(x *exchange.Exchange) {
+	e.owe(-1)
+	e.forget(x)
+}
+
+func (e *Engine) forget(x *exchange.Exchange) {
+	if x.Final() && x.Open == 0 && e.table[x.Command.ID] == x {
+		delete(e.table, x.Command.ID)
+	}
+}
+
+// Ended implements exchange.Ender.
+func (e *Engine) Ended(now int64, d *exchange.Dispatch, o route.Outcome, r *pgwire.Reply) {
+	x := d.Exchange
+	if !x.End(d) {
+		return
+	}
+	took := now - d.Sent
+	if o == route.Answered {
+		owed := !x.Final()
+		x.Answer(r.Value)
+		if owed {
+			e.owe(-1)
+		}
+	}
+	if r != nil {
+		role := route.RoleUnknown
+		if r.Primary {
+			role = route.Primary
+		} else if r.Replica {
+			role = route.Replica
+		}
+		e.router.Seen(now, d.Node, took, role, r.Position)
+		e.report(now, d.Node, r.Load)
+	}
+	e.router.Result(now, x.Command.ID, d.Node, d.Number, o, took, x.Final())
+	e.forget(x)
+}
+
+// Probed implements exchange.Ender.
+func (e *Engine) Probed(now int64, node string, took int64, o route.Outcome, load string) {
+	e.report(now, node, load)
+	e.router.Probed(now, node, took, o)
+}
+
+// report passes on the figures that a node tells of itself: positions are Unix seconds on sockets.
+func (e *Engine) report(now int64, node, load string) {
+	for one := range strings.SplitSeq(load, ",") {
+		name, value, _ := strings.Cut(one, "=")
+		switch name {
+		case "x0":
+			if pos, err := decimal.Scaled(value, 6); err == nil {
+				e.router.ReportedPosition(now, node, pos)
+			}
+		case "x1":
+			if lead, err := decimal.Scaled(value, 1); err == nil {
+				e.router.ReportedRole(now, node, lead >= 5)
+			}
+		}
+	}
+}
+
+// Listed hands the module a list of nodes, whole or changed entries; it runs on the engine's goroutine.
+func (e *Engine) Listed(now int64, l *nodelist.List) {
+	lists.Add()
+	e.router.ListBegins(now, l.Whole)
+	for _, n := range l.Nodes {
+		if n.State != route.Removed {
+			e.nodes.Place(n.Name, n.Address)
+		}
+		e.router.ListNode(now, n.Name, n.Zone, n.Kind, n.Shard, n.State, n.Primary, n.Started)
+	}
+	e.router.ListEnds(now)
+}
+
+// Dispatch implements route.Actions.
+func (e *Engine) Dispatch(cmd, node string, timeout int64) {
+	x := e.table[cmd]
+	if !assert.That(x != nil && !x.Final(), "a command is dispatched before its final answer") {
+		return
+	}
+	d := x.Begin(node, e.clock, timeout)
+	e.nodes.Send(d)
+	e.After(d.Deadline-e.clock, func(now int64) {
+		e.abandon(d, route.TimedOut)
+	})
+}
+
+// abandon stops a dispatch; the module learns it as an event of its own, once the connection has ended.
+func (e *Engine) abandon(d *exchange.Dispatch, o route.Outcome) {
+	if d.Ended || d.Stopped {
+		return
+	}
+	d.Stopped = true
+	if !e.nodes.Stop(d) {
+		o = route.Unsent
+	}
+	e.Post(e.now(), func(now int64) { e.Ended(now, d, o, nil) })
+}
+
+// Throttle implements route.Actions.
+func (e *Engine) Throttle(cmd string, retryIn int64) {
+	if x := e.table[cmd]; assert.That(x != nil, "a throttled command is in hand") {
+		x.Throttle(retryIn)
+		e.settled(x)
+	}
+}
+
+// Fail implements route.Actions.
+func (e *Engine) Fail(cmd string) {
+	if x := e.table[cmd]; assert.That(x != nil, "a failed command is in hand") {
+		x.Fail()
+		e.settled(x)
+	}
+}
+
+// Withdraw implements route.Actions.
+func (e *Engine) Withdraw(cmd string, dispatch int) {
+	x := e.table[cmd]
+	if assert.That(x != nil && dispatch < len(x.Dispatches), "a withdrawn dispatch was made") {
+		e.abandon(x.Dispatches[dispatch], route.Withdrawn)
+	}
+}
+
+// Timer implements route.Actions.
+func (e *Engine) Timer(in int64, cookie uint64) {
+	e.After(in, func(now int64) { e.router.Timer(now, cookie) })
+}
+
+// Probe implements route.Actions.
+func (e *Engine) Probe(node string) { e.nodes.Probe(node) }
+
+// Release implements route.Actions.
+func (e *Engine) Release(node string) { e.nodes.Release(node) }
+
+// Follow implements route.Actions; on sockets the list is always followed.
+func (e *Engine) Follow() {}
+
+// Tell implements route.Actions; routers have no way to talk to each other here.
+func (e *Engine) Tell(int, []byte) {}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,142 @@
+// Package exchange holds one command between its client and the nodes: its dispatches and its one final
+// answer. Client side and server side meet only here. An exchange belongs to the engine's goroutine.
+package exchange
+
+import (
+	"cairntiller/internal/assert"
+	"cairntiller/internal/counters"
+	"cairntiller/internal/pgwire"
+	"cairntiller/internal/route"
+)
+
+var (
+	answered  = counters.New("commands answered")
+	throttled = counters.New("commands throttled")
+	failed    = counters.New("commands failed")
+	left      = counters.New("commands left by clients")
+	late      = counters.New("answers after the final one")
+)
+
+// Client is where a command's final answer goes.
+type Client interface {
+	Answer(x *Exchange, value []byte)
+	Throttle(x *Exchange, wait int64)
+	Fail(x *Exchange)
+}
+
+// Taker takes what clients bring; its calls may come from any goroutine.
+type Taker interface {
+	Take(at int64, x *Exchange)
+	Gone(at int64, x *Exchange)
+}
+
+// Nodes carries dispatches and probes. Its calls come from the engine's goroutine and never block.
+type Nodes interface {
+	// Place tells where a node listens.
+	Place(node, address string)
+	// Send starts a dispatch, which ends in Ended unless it is stopped.
+	Send(d *Dispatch)
+	// Stop gives a dispatch up: its connection is ended when this returns, and nothing more comes of it. It
+	// tells whether the node may have it.
+	Stop(d *Dispatch) bool
+	// Probe asks a node for its report.
+	Probe(node string)
+	// Release closes the idle connections to a node.
+	Release(node string)
+}
+
+// Ender learns how dispatches and probes ended, on the engine's goroutine.
+type Ender interface {
+	Ended(now int64, d *Dispatch, o route.Outcome, r *pgwire.Reply)
+	Probed(now int64, node string, took int64, o route.Outcome, load string)
+}
+
+// Exchange is one command.
+type Exchange struct {
+	Command       *pgwire.Command
+	Group, Tenant int
+	Deadline      int64 // us on the router's clock
+	Dispatches    []*Dispatch
+	Open          int // dispatches that have not ended
+	client        Client
+	final         bool
+}
+
+// Dispatch is one try of a command at a node.
+type Dispatch struct {
+	Exchange *Exchange
+	Number   int
+	Node     string
+	Sent     int64 // when it was decided
+	Deadline int64 // when the router stops waiting
+	Stopped  bool  // the router has given it up
+	Ended    bool
+}
+
+// New makes an exchange for a command that has just arrived.
+func New(c *pgwire.Command, client Client, group, tenant int, arrived int64) *Exchange {
+	return &Exchange{Command: c, Group: group, Tenant: tenant, Deadline: arrived + c.Timeout, client: client}
+}
+
+// Begin adds a dispatch.
+func (x *Exchange) Begin(node string, now, timeout int64) *Dispatch {
+	d := &Dispatch{Exchange: x, Number: len(x.Dispatches), Node: node, Sent: now, Deadline: x.Deadline}
+	if timeout > 0 {
+		d.Deadline = min(d.Deadline, now+timeout)
+	}
+	x.Dispatches = append(x.Dispatches, d)
+	x.Open++
+	return d
+}
+
+// End closes a dispatch; it tells whether that is news.
+func (x *Exchange) End(d *Dispatch) bool {
+	if !assert.That(!d.Ended, "a dispatch ends once") {
+		return false
+	}
+	d.Ended = true
+	x.Open--
+	return true
+}
+
+// Final tells whether the command has had its answer, or needs none any more.
+func (x *Exchange) Final() bool { return x.final }
+
+// Answer gives the client a node's value; a later one is counted and ends here.
+func (x *Exchange) Answer(value []byte) {
+	if x.final {
+		late.Add()
+		return
+	}
+	x.final = true
+	answered.Add()
+	x.client.Answer(x, value)
+}
+
+// Throttle tells the client that nothing ran and when to come again.
+func (x *Exchange) Throttle(wait int64) {
+	if assert.That(!x.final, "a command is throttled before its final answer") {
+		x.final = true
+		throttled.Add()
+		x.client.Throttle(x, wait)
+	}
+}
+
+// Fail tells the client nothing but that it failed.
+func (x *Exchange) Fail() {
+	if assert.That(!x.final, "a command fails before its final answer") {
+		x.final = true
+		failed.Add()
+		x.client.Fail(x)
+	}
+}
+
+// Leave notes that the client has gone; it tells whether an answer was still owed.
+func (x *Exchange) Leave() bool {
+	owed := !x.final
+	if owed {
+		left.Add()
+	}
+	x.final = true
+	return owed
+}
--- /dev/null
+++ b/internal/nodelist/nodelist.go
@@ -0,0 +1,64 @@
+// Package nodelist holds discovery's list of nodes and the watch that keeps it true.
+package nodelist
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"cairntiller/internal/route"
+)
+
+// Node is one entry.
+type Node struct {
+	Name, Address, Zone, Kind string
+	Shard                     int
+	State                     route.State
+	Primary                   bool
+	Started                   int64 // us in Unix time, 0 for long ago
+}
+
+// List is the whole list, or the entries changed since another version.
+type List struct {
+	Index int64
+	Whole bool
+	Nodes []Node
+}
+
+// Decode reads one list as discovery gives it; a broken one changes nothing, so it is refused whole.
+func Decode(raw []byte) (*List, error) {
+	var wire struct {
+		Index     *int64
+		Snapshot  bool
+		Endpoints []struct {
+			Name, Address, Zone, Type, Status, Role string
+			Group                                   int
+			Since                                   float64 `json:"since_ms"`
+		}
+	}
+	if err := json.Unmarshal(raw, &wire); err != nil {
+		return nil, err
+	}
+	if wire.Index == nil {
+		return nil, errors.New("no version")
+	}
+	l := &List{Index: *wire.Index, Whole: wire.Snapshot, Nodes: make([]Node, 0, len(wire.Endpoints))}
+	for _, e := range wire.Endpoints {
+		n := Node{Name: e.Name, Address: e.Address, Zone: e.Zone, Kind: e.Type, Shard: e.Group,
+			Primary: e.Role == "primary", Started: int64(e.Since * 1000)}
+		switch e.Status {
+		case "active":
+		case "leaving":
+			n.State = route.Draining
+		case "left":
+			n.State = route.Removed
+		default:
+			return nil, fmt.Errorf("node %q: unknown status %q", e.Name, e.Status)
+		}
+		if e.Name == "" || e.Address == "" && n.State != route.Removed {
+			return nil, errors.New("a node without name or address")
+		}
+		l.Nodes = append(l.Nodes, n)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/nodes/link.go
@@ -0,0 +1,195 @@
+package nodes
+
+import (
+	"sync/atomic"
+	"time"
+
+	"cairntiller/internal/pgwire"
+	"cairntiller/internal/route"
+	"cairntiller/internal/stream"
+)
+
+const mostReply = 1 << 17 // bytes in one message of a node: a value of 64 KiB, and room for one in text
+
+// link is one connection to a node. What it reads is put together on the library's goroutine; which job it
+// carries is known to the engine's goroutine alone.
+type link struct {
+	node   *node
+	stream *stream.Stream
+	pool   *Pool
+
+	job   *job // engine's goroutine
+	up    bool
+	since int64         // when it became idle
+	lost  bool          // it ended before it was known whether its query was written
+	last  *pgwire.Reply // what had come by then
+
+	asked atomic.Int64 // queries written to it
+	ended atomic.Bool
+
+	split    *pgwire.Splitter // reader's goroutine
+	greeting *pgwire.Greeting
+	reply    *pgwire.Reply
+	told     int64 // replies read from it
+	ready    chan greeted
+}
+
+// connect opens a connection and signs on; it blocks, for so long at most. code is the node's own error.
+func connect(n *node, wait int64, p *Pool) (l *link, code string, err error) {
+	began := time.Now()
+	limit := time.Duration(wait) * time.Microsecond
+	conn, err := stream.Dial(n.address, limit)
+	if err != nil {
+		return nil, "", err
+	}
+	l = &link{node: n, pool: p, split: pgwire.NewSplitter(mostReply, false), greeting: &pgwire.Greeting{},
+		reply: &pgwire.Reply{}, ready: make(chan greeted, 1)}
+	l.stream = stream.New(conn)
+	l.stream.Start(stream.Events{Bytes: l.bytes, Ended: l.end})
+	l.stream.Write(pgwire.AppendStartup(nil, pgwire.User, pgwire.Database), nil)
+	left := time.NewTimer(limit - time.Since(began))
+	defer left.Stop()
+	select {
+	case g := <-l.ready:
+		if code, err = g.code, g.err; err == nil && code != "" {
+			err = errRefused
+		}
+	case <-left.C:
+		err = errSilent
+	}
+	if err != nil {
+		l.stream.Close()
+	}
+	return l, code, err
+}
+
+// greeted is how signing on ended.
+type greeted struct {
+	code string
+	err  error
+}
+
+type fault string
+
+func (f fault) Error() string { return string(f) }
+
+const (
+	errRefused fault = "the node refused the connection"
+	errSilent  fault = "the node did not complete the connection in time"
+	errEnded   fault = "the connection ended"
+)
+
+// usable tells whether the connection may carry a query: it lives, and has been idle only since later than a time.
+func (l *link) usable(since int64) bool { return l.up && !l.ended.Load() && l.since > since }
+
+func (l *link) signal(code string, err error) {
+	select {
+	case l.ready <- greeted{code, err}:
+	default:
+	}
+}
+
+// bytes puts together what arrives and passes on whole replies.
+func (l *link) bytes(p []byte) {
+	at := l.pool.now()
+	l.split.Feed(p)
+	for {
+		f, whole, err := l.split.Next()
+		if err == nil && !whole {
+			return
+		}
+		if err == nil && l.greeting != nil {
+			done, bad := l.greeting.Take(f)
+			if done {
+				l.signal(l.greeting.Code, bad)
+				if bad != nil || l.greeting.Code != "" {
+					l.stream.Close()
+					return
+				}
+				l.greeting = nil
+			}
+			if err = bad; err == nil {
+				continue
+			}
+		}
+		done := false
+		if err == nil {
+			done, err = l.reply.Take(f)
+		}
+		if err == nil && l.told == l.asked.Load() && (done || l.reply.Begun()) { // it answers what nobody asked
+			err = pgwire.ErrTurn
+		}
+		if err != nil {
+			l.distrust(at, err)
+			return
+		}
+		if done {
+			l.told++
+			r := l.reply
+			l.reply = &pgwire.Reply{}
+			l.pool.post(at, func(now int64) { l.pool.replied(now, l, r) })
+		}
+	}
+}
+
+// distrust ends a connection of which nothing more can be believed; what it carries may have run.
+func (l *link) distrust(at int64, err error) {
+	garbage.Add()
+	l.signal("", err)
+	l.reply = &pgwire.Reply{}
+	l.stream.Close()
+	l.pool.post(at, func(now int64) { l.pool.lost(now, l, nil) })
+}
+
+// end is told when the connection has ended; a row or an error that came whole before it counts.
+func (l *link) end() {
+	l.ended.Store(true)
+	l.signal("", errEnded)
+	at, r := l.pool.now(), l.reply
+	l.pool.post(at, func(now int64) { l.pool.lost(now, l, r) })
+}
+
+// replied ends the job of a connection that is ready for its next.
+func (p *Pool) replied(now int64, l *link, r *pgwire.Reply) {
+	j := l.job
+	if r.Fatal || !l.up {
+		p.drop(l)
+	} else {
+		p.free(now, l)
+	}
+	if j != nil {
+		p.end(now, j, outcome(r), r)
+	}
+}
+
+// lost ends the job of a connection that has ended.
+func (p *Pool) lost(now int64, l *link, r *pgwire.Reply) {
+	p.drop(l)
+	j := l.job
+	if j == nil {
+		return
+	}
+	if !j.resolved { // whether it may have run is known once its write has ended
+		l.lost, l.last = true, r
+		return
+	}
+	l.job = nil
+	if r != nil && (r.Whole() || r.Code != "") {
+		p.end(now, j, outcome(r), r)
+	} else {
+		p.end(now, j, route.Broken, nil)
+	}
+}
+
+// outcome is the protocol page's table.
+func outcome(r *pgwire.Reply) route.Outcome {
+	switch r.Code {
+	case "":
+		return route.Answered
+	case pgwire.CodeThrottled:
+		return route.Full
+	case pgwire.CodeNoPrimary, pgwire.CodeTooOld:
+		return route.Missed
+	}
+	return route.Errored
+}
--- /dev/null
+++ b/internal/nodes/pool.go
@@ -0,0 +1,346 @@
+// Package nodes is the server side: connections to nodes, the dispatches and probes they carry, and what
+// came of each. A Pool belongs to the engine's goroutine; only dialling, reading and writing run elsewhere,
+// and they report back through post.
+package nodes
+
+import (
+	"errors"
+
+	"cairntiller/internal/counters"
+	"cairntiller/internal/exchange"
+	"cairntiller/internal/pgwire"
+	"cairntiller/internal/route"
+	"cairntiller/internal/stream"
+)
+
+const (
+	idleMargin = 1_000_000 // us before the machine's idle limit at which a connection is closed: two sweeps
+	sweepEvery = 500_000   // us between looks at idle connections
+)
+
+var (
+	sent     = counters.New("dispatches written")
+	probed   = counters.New("probes written")
+	dialled  = counters.New("node connections opened")
+	refused  = counters.New("node connections failed")
+	garbage  = counters.New("node connections untrusted")
+	crowded  = counters.New("dispatches without descriptor")
+	outcomes = [...]*counters.Counter{
+		route.Errored:     counters.New("dispatches errored"),
+		route.Answered:    counters.New("dispatches answered"),
+		route.Full:        counters.New("dispatches turned away"),
+		route.TimedOut:    counters.New("dispatches timed out"),
+		route.Unconnected: counters.New("dispatches unconnected"),
+		route.Broken:      counters.New("dispatches broken"),
+		route.Withdrawn:   counters.New("dispatches withdrawn"),
+		route.Unsent:      counters.New("dispatches unsent"),
+		route.Missed:      counters.New("dispatches missed"),
+	}
+)
+
+// Post hands what happened at a time to the engine's goroutine.
+type Post func(at int64, do func(now int64))
+
+// Pool holds the connections to all nodes.
+type Pool struct {
+	now     func() int64
+	post    Post
+	after   func(in int64, do func(now int64))
+	ender   exchange.Ender
+	connect int64 // us in which a connection must be up, and a probe answered
+	idle    int64 // us after which a connection without work is closed
+	most    int   // connections to all nodes together
+	open    int
+	nodes   map[string]*node
+	at      map[*exchange.Dispatch]*job
+}
+
+// node is one node's connections: idle ones, the latest used last, and jobs that wait for one.
+type node struct {
+	name, address string
+	idle          []*link
+	waiting       []*job
+	dialling      int
+}
+
+// job is one query for a node: a dispatch, or a probe where there is none.
+type job struct {
+	d        *exchange.Dispatch
+	node     *node
+	began    int64
+	link     *link // that carries it, nil while it waits for one
+	over     bool
+	resolved bool // its write has ended, one way or the other
+}
+
+// New makes a pool; its calls come from the goroutine that runs what is posted.
+func New(now func() int64, post Post, after func(int64, func(int64)), ender exchange.Ender, connect, idle int64,
+	most int) *Pool {
+	p := &Pool{now: now, post: post, after: after, ender: ender, connect: connect, idle: idle - idleMargin,
+		most: most, nodes: map[string]*node{}, at: map[*exchange.Dispatch]*job{}}
+	p.after(sweepEvery, p.sweep)
+	return p
+}
+
+// Place implements exchange.Nodes; connections to a former address are closed once they have ended their work.
+func (p *Pool) Place(name, address string) {
+	n := p.nodes[name]
+	if n != nil && n.address == address {
+		return
+	}
+	if n != nil {
+		p.Release(name)
+	}
+	fresh := &node{name: name, address: address}
+	if n != nil { // what waits goes on at the new address
+		for _, j := range n.waiting {
+			j.node = fresh
+			fresh.waiting = append(fresh.waiting, j)
+			p.dial(fresh)
+		}
+		n.waiting = nil
+	}
+	p.nodes[name] = fresh
+}
+
+// Release implements exchange.Nodes.
+func (p *Pool) Release(name string) {
+	if n := p.nodes[name]; n != nil {
+		for _, l := range n.idle {
+			p.drop(l)
+		}
+		n.idle = nil
+	}
+}
+
+// Send implements exchange.Nodes.
+func (p *Pool) Send(d *exchange.Dispatch) { p.begin(&job{d: d, began: d.Sent}, d.Node) }
+
+// Probe implements exchange.Nodes.
+func (p *Pool) Probe(name string) { p.begin(&job{began: p.now()}, name) }
+
+func (p *Pool) begin(j *job, name string) {
+	n := p.nodes[name]
+	if j.d != nil {
+		p.at[j.d] = j
+	}
+	if n == nil { // listed without a usable address
+		j.node = &node{name: name}
+		p.later(j, route.Unconnected)
+		return
+	}
+	j.node = n
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		l := n.idle[i]
+		n.idle = n.idle[:i]
+		if l.usable(p.now() - p.idle) {
+			p.give(l, j)
+			return
+		}
+		p.drop(l)
+	}
+	if p.open+p.diallingAll() >= p.most && !p.spare() {
+		crowded.Add()
+		p.later(j, route.Unconnected)
+		return
+	}
+	n.waiting = append(n.waiting, j)
+	p.dial(n)
+	p.after(p.connect, func(now int64) {
+		if j.link == nil && !j.over {
+			n := j.node
+			n.unwait(j)
+			p.end(now, j, route.Unconnected, nil)
+		}
+	})
+}
+
+// later ends a job after the call that began it has returned.
+func (p *Pool) later(j *job, o route.Outcome) {
+	p.post(p.now(), func(now int64) { p.end(now, j, o, nil) })
+}
+
+func (p *Pool) diallingAll() (sum int) {
+	for _, n := range p.nodes {
+		sum += n.dialling
+	}
+	return sum
+}
+
+// spare closes the connection that has been idle longest.
+func (p *Pool) spare() bool {
+	var oldest *node
+	for _, n := range p.nodes {
+		if len(n.idle) > 0 && (oldest == nil || n.idle[0].since < oldest.idle[0].since) {
+			oldest = n
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.drop(oldest.idle[0])
+	oldest.idle = oldest.idle[1:]
+	return true
+}
+
+func (p *Pool) dial(n *node) {
+	n.dialling++
+	go func() {
+		l, code, err := connect(n, p.connect, p)
+		p.post(p.now(), func(now int64) {
+			n.dialling--
+			if err == nil {
+				dialled.Add()
+				p.open++
+				l.up = true
+				p.free(now, l)
+				return
+			}
+			refused.Add()
+			if len(n.waiting) > n.dialling { // one job for each that is still being dialled
+				j := n.waiting[0]
+				n.waiting = n.waiting[1:]
+				o := route.Unconnected
+				if code == pgwire.CodeThrottled {
+					o = route.Full
+				}
+				p.end(now, j, o, nil)
+			}
+		})
+	}()
+}
+
+func (n *node) unwait(j *job) {
+	for i, one := range n.waiting {
+		if one == j {
+			n.waiting = append(n.waiting[:i], n.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// free gives a connection that has no work its next, or puts it aside.
+func (p *Pool) free(now int64, l *link) {
+	n := l.node
+	l.job, l.since = nil, now
+	switch {
+	case !l.usable(now - p.idle):
+		p.drop(l)
+	case len(n.waiting) > 0:
+		j := n.waiting[0]
+		n.waiting = n.waiting[1:]
+		p.give(l, j)
+	case p.nodes[n.name] != n: // it has moved meanwhile
+		p.drop(l)
+	default:
+		n.idle = append(n.idle, l)
+	}
+}
+
+func (p *Pool) drop(l *link) {
+	if l.up {
+		l.up = false
+		p.open--
+	}
+	l.stream.Close()
+}
+
+// give writes a job's query to a connection.
+func (p *Pool) give(l *link, j *job) {
+	var query []byte
+	if j.d == nil {
+		probed.Add()
+		query = pgwire.AppendQuery(nil, "SHOW load")
+		p.after(p.connect, func(now int64) {
+			if !j.over {
+				p.drop(l)
+				p.end(now, j, route.TimedOut, nil)
+			}
+		})
+	} else {
+		left := j.d.Deadline - p.now()
+		if left <= 0 {
+			p.later(j, route.Unsent)
+			p.free(p.now(), l)
+			return
+		}
+		sent.Add()
+		query = j.d.Exchange.Command.AppendFor(nil, left)
+	}
+	j.link, l.job = l, j
+	l.asked.Add(1)
+	l.stream.Write(query, func(err error) {
+		p.post(p.now(), func(now int64) { p.wrote(now, l, j, err) })
+	})
+}
+
+// wrote learns whether the kernel took a query whole.
+func (p *Pool) wrote(now int64, l *link, j *job, err error) {
+	j.resolved = true
+	switch {
+	case errors.Is(err, stream.ErrUnwritten):
+		p.drop(l)
+		p.end(now, j, route.Unconnected, nil)
+	case err != nil:
+		p.drop(l)
+		p.end(now, j, route.Broken, nil)
+	case l.lost && l.job == j:
+		p.lost(now, l, l.last)
+	}
+}
+
+// end reports how a job ended, once.
+func (p *Pool) end(now int64, j *job, o route.Outcome, r *pgwire.Reply) {
+	if j.over {
+		return
+	}
+	j.over = true
+	if j.d != nil {
+		delete(p.at, j.d)
+		outcomes[o].Add()
+		p.ender.Ended(now, j.d, o, r)
+		return
+	}
+	load := ""
+	if r != nil && o == route.Answered {
+		load = string(r.First)
+	}
+	p.ender.Probed(now, j.node.name, now-j.began, o, load)
+}
+
+// Stop implements exchange.Nodes.
+func (p *Pool) Stop(d *exchange.Dispatch) bool {
+	j := p.at[d]
+	if j == nil {
+		return true
+	}
+	delete(p.at, d)
+	j.over = true
+	if j.link == nil {
+		j.node.unwait(j)
+		return false
+	}
+	if j.link.up {
+		j.link.up = false
+		p.open--
+	}
+	j.link.stream.Cut()
+	return true
+}
+
+// sweep closes connections before the machine's idle limit does.
+func (p *Pool) sweep(now int64) {
+	for _, n := range p.nodes {
+		keep := n.idle[:0]
+		for _, l := range n.idle {
+			if l.usable(now - p.idle) {
+				keep = append(keep, l)
+			} else {
+				p.drop(l)
+			}
+		}
+		clear(n.idle[len(keep):])
+		n.idle = keep
+	}
+	p.after(sweepEvery, p.sweep)
+}
--- /dev/null
+++ b/internal/pgwire/backend.go
@@ -0,0 +1,155 @@
+package pgwire
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"cairntiller/internal/decimal"
+)
+
+// ErrTurn tells that a node said what does not follow: nothing more of its connection can be believed.
+var ErrTurn = errors.New("message out of turn")
+
+// The words of our protocol page: how the router signs on, and under which names a node tells of itself.
+const (
+	User, Database = "portal", "crm"
+	statusPosition = "applied_ms"
+	statusRole     = "role"
+	rolePrimary    = "primary"
+	roleReplica    = "replica"
+	statusLoad     = "load"
+)
+
+// Standing is what a node tells of itself beside an answer.
+type Standing struct {
+	Primary, Replica bool
+	Position         int64  // us in Unix time, 0 for none
+	Load             string // its report, as it stands on the wire
+}
+
+// Reply collects what a node sends back for one query, up to ReadyForQuery.
+type Reply struct {
+	Standing
+	Code  string // of its ErrorResponse, "" for none
+	Fatal bool   // the connection ends with it
+	Value []byte // RowDescription, DataRow and CommandComplete as they came
+	First []byte // the row's one column
+	last  byte
+}
+
+// Whole tells whether the row is complete, though ReadyForQuery may be still to come.
+func (r *Reply) Whole() bool { return r.last == 'C' }
+
+// Begun tells whether any part of an answer has come.
+func (r *Reply) Begun() bool { return r.last != 0 }
+
+// Take adds one message; done tells that the node is ready for the next query.
+func (r *Reply) Take(f Frame) (done bool, err error) {
+	after := map[byte]byte{'T': 0, 'D': 'T', 'C': 'D', 'E': 0} // the message that each must follow
+	switch f.Type {
+	case 'S':
+		return false, r.status(f)
+	case 'N', 'K':
+		return false, nil
+	case 'Z':
+		if r.last != 'C' && r.last != 'E' || len(f.Body) != 1 {
+			return false, ErrTurn
+		}
+		return true, nil
+	case 'T', 'D', 'C':
+		if r.last != after[f.Type] {
+			return false, ErrTurn
+		}
+		if f.Type != 'C' && (len(f.Body) < 2 || binary.BigEndian.Uint16(f.Body) != 1) { // one column
+			return false, ErrTurn
+		}
+		if f.Type == 'D' {
+			if len(f.Body) < 6 || int64(len(f.Body)-6) != int64(int32(binary.BigEndian.Uint32(f.Body[2:]))) {
+				return false, ErrTurn
+			}
+			r.First = append(r.First, f.Body[6:]...)
+		}
+		r.Value = f.Append(r.Value)
+	case 'E':
+		if r.last == 'C' || r.last == 'E' { // it may break off a row, not follow a whole one
+			return false, ErrTurn
+		}
+		if r.Code, r.Fatal, err = decodeError(f); err != nil {
+			return false, err
+		}
+	default:
+		return false, ErrTurn
+	}
+	r.last = f.Type
+	return false, nil
+}
+
+func (r *Reply) status(f Frame) error {
+	name, rest, ok := text(f.Body)
+	value, _, whole := text(rest)
+	if !ok || !whole {
+		return ErrTurn
+	}
+	switch name {
+	case statusPosition:
+		pos, err := decimal.Micros(value)
+		if err != nil {
+			return ErrTurn
+		}
+		r.Position = pos
+	case statusRole:
+		r.Primary, r.Replica = value == rolePrimary, value == roleReplica
+	case statusLoad:
+		r.Load = value
+	}
+	return nil
+}
+
+// Greeting collects what a node sends back for a startup; done tells that it is ready.
+type Greeting struct {
+	Code    string
+	allowed bool
+}
+
+// Take adds one message.
+func (g *Greeting) Take(f Frame) (done bool, err error) {
+	switch f.Type {
+	case 'R':
+		if len(f.Body) != 4 || binary.BigEndian.Uint32(f.Body) != 0 { // it wants more than a name
+			return false, ErrTurn
+		}
+		g.allowed = true
+	case 'S', 'N', 'K':
+	case 'E':
+		g.Code, _, err = decodeError(f)
+		return true, err
+	case 'Z':
+		if !g.allowed {
+			return false, ErrTurn
+		}
+		return true, nil
+	default:
+		return false, ErrTurn
+	}
+	return false, nil
+}
+
+func decodeError(f Frame) (code string, fatal bool, err error) {
+	for b := f.Body; len(b) > 0 && b[0] != 0; {
+		value, rest, ok := text(b[1:])
+		if !ok {
+			return "", false, ErrTurn
+		}
+		switch b[0] {
+		case 'C':
+			code = value
+		case 'S', 'V':
+			fatal = fatal || value == "FATAL" || value == "PANIC"
+		}
+		b = rest
+	}
+	if code == "" {
+		return "", false, ErrTurn
+	}
+	return code, fatal, nil
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -11,6 +11,7 @@
 	"io"
 	"strconv"
 
+	"cairntiller/internal/decimal"
 	"cairntiller/internal/route"
 )
 
@@ -74,7 +75,7 @@
 			if string(h.fields[0]) != "clock" || len(h.fields) < 3 {
 				return h.bad("clock", "batch does not start with a clock line")
 			}
-			if h.clock, err = micros(h.fields[1]); err != nil {
+			if h.clock, err = decimal.Micros(h.fields[1]); err != nil {
 				return h.bad("clock", err.Error())
 			}
 			batch, open = string(h.fields[2]), true
@@ -352,7 +353,7 @@
 }
 
 func (n *reader) time(f []byte, field string) int64 {
-	v, err := micros(f)
+	v, err := decimal.Micros(f)
 	if err != nil {
 		n.fail(field, err.Error())
 	}
@@ -360,58 +361,13 @@
 }
 
 func (n *reader) seconds(f []byte, field string) int64 {
-	v, err := decimal(f, 6)
+	v, err := decimal.Scaled(f, 6)
 	if err != nil {
 		n.fail(field, err.Error())
 	}
 	return v
 }
 
-var errNoTime = errors.New("no decimal number")
-
-// micros reads decimal milliseconds exactly; an absent value is 0.
-func micros(f []byte) (int64, error) { return decimal(f, 3) }
-
-// decimal reads a decimal number scaled by ten to the given power, rounded down.
-func decimal(f []byte, power int) (int64, error) {
-	if string(f) == "-" {
-		return 0, nil
-	}
-	sign, v, digits, after := int64(1), int64(0), 0, -1
-	for i, c := range f {
-		switch {
-		case c == '-' && i == 0:
-			sign = -1
-		case c == '.' && after < 0:
-			after = 0
-		case c >= '0' && c <= '9':
-			digits++
-			if after >= power {
-				continue
-			}
-			if v > (1<<62)/10 {
-				return 0, errNoTime
-			}
-			v = v*10 + int64(c-'0')
-			if after >= 0 {
-				after++
-			}
-		default:
-			return 0, errNoTime
-		}
-	}
-	if digits == 0 {
-		return 0, errNoTime
-	}
-	for after = max(after, 0); after < power; after++ {
-		if v > (1<<62)/10 {
-			return 0, errNoTime
-		}
-		v *= 10
-	}
-	return sign * v, nil
-}
-
 func text(f []byte) string {
 	if string(f) == "-" {
 		return ""
--- /dev/null
+++ b/internal/stream/stream.go
@@ -0,0 +1,184 @@
+// Package stream holds one connection of the network library: bytes out in order without ever blocking the
+// caller, bytes in as they come, and one end.
+package stream
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"cairntiller/internal/counters"
+)
+
+const (
+	writeWait  = 5 * time.Second // for a peer that reads nothing; its connection ends then, and nothing else waits
+	lingerWait = time.Second     // for a peer to end its side after ours, so that it reads all we wrote
+)
+
+var stuck = counters.New("writes given up")
+
+// ErrUnwritten tells that the peer's machine was handed nothing of what was to be written.
+var ErrUnwritten = errors.New("nothing was written")
+
+// Events are what a connection tells its owner; each is called on a goroutine of the library's.
+type Events struct {
+	Bytes func(p []byte) // p stands only until it returns
+	Ended func()         // once, whoever ended the connection
+}
+
+// Stream is one connection.
+type Stream struct {
+	conn    netpoll.Connection
+	mu      sync.Mutex
+	out     []piece
+	writing bool
+	ending  bool // nothing more is taken; our side ends once all is out
+	closed  bool // the connection's descriptor may be another's by now
+}
+
+type piece struct {
+	bytes []byte
+	done  func(error)
+}
+
+// Dial opens a connection, bounded in time; it blocks.
+func Dial(address string, wait time.Duration) (netpoll.Connection, error) {
+	return netpoll.DialConnection("tcp", address, wait)
+}
+
+// New takes a connection over; nothing is read before Start.
+func New(conn netpoll.Connection) *Stream {
+	conn.SetWriteTimeout(writeWait)
+	return &Stream{conn: conn}
+}
+
+// Start begins to read; events may come before it returns.
+func (s *Stream) Start(ev Events) {
+	conn := s.conn
+	conn.AddCloseCallback(func(netpoll.Connection) error {
+		s.mu.Lock()
+		s.closed, s.ending = true, true
+		s.mu.Unlock()
+		ev.Ended()
+		return nil
+	})
+	conn.SetOnRequest(func(_ context.Context, c netpoll.Connection) error {
+		r := c.Reader()
+		p, err := r.Next(r.Len())
+		if err == nil {
+			ev.Bytes(p)
+			err = r.Release()
+		}
+		return err
+	})
+	if !conn.IsActive() { // it ended before anyone could be told
+		conn.Close()
+	}
+}
+
+// Write queues bytes, which are the stream's from here on; it never blocks. done, where given, is told once
+// whether the kernel has all of them: ErrUnwritten only where it surely has none.
+func (s *Stream) Write(p []byte, done func(error)) {
+	s.mu.Lock()
+	if s.ending {
+		s.mu.Unlock()
+		if done != nil {
+			done(ErrUnwritten)
+		}
+		return
+	}
+	s.out = append(s.out, piece{p, done})
+	start := !s.writing
+	s.writing = true
+	s.mu.Unlock()
+	if start {
+		go s.drain()
+	}
+}
+
+// drain writes what is queued; the library's flush blocks while the peer reads nothing, so it has its own goroutine.
+func (s *Stream) drain() {
+	var failed error
+	for {
+		s.mu.Lock()
+		todo := s.out
+		s.out = nil
+		if len(todo) == 0 {
+			s.writing = false
+			if s.ending && failed == nil {
+				s.finish()
+			}
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		for _, one := range todo {
+			err := failed
+			if err == nil {
+				if err = s.put(one.bytes); err != nil {
+					failed = ErrUnwritten // of those behind it nothing has left
+					stuck.Add()
+					s.Close()
+				}
+			}
+			if one.done != nil {
+				one.done(err)
+			}
+		}
+	}
+}
+
+func (s *Stream) put(p []byte) error {
+	if !s.conn.IsActive() {
+		return ErrUnwritten
+	}
+	_, err := s.conn.Write(p)
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		return ErrUnwritten // the first call to the kernel failed: it takes a part or fails, never both
+	}
+	return err
+}
+
+// finish ends our side; the peer then ends its own, or is cut. Called under the lock.
+func (s *Stream) finish() {
+	if !s.closed {
+		s.half()
+		time.AfterFunc(lingerWait, s.Close)
+	}
+}
+
+func (s *Stream) half() {
+	if fd, ok := s.conn.(interface{ Fd() int }); ok {
+		syscall.Shutdown(fd.Fd(), syscall.SHUT_WR)
+	}
+}
+
+// End closes the connection once all that is queued is out and read.
+func (s *Stream) End() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ending {
+		s.ending = true
+		if !s.writing {
+			s.finish()
+		}
+	}
+}
+
+// Cut ends our side at once: the peer sees it before anything that is sent elsewhere after this returns.
+func (s *Stream) Cut() {
+	s.mu.Lock()
+	s.ending = true
+	if !s.closed {
+		s.half()
+	}
+	s.mu.Unlock()
+	go s.Close() // it may wait for whoever is reading
+}
+
+// Close ends the connection at once.
+func (s *Stream) Close() { s.conn.Close() }
