--- /dev/null
+++ b/internal/engine/sockets_test.go
@@ -0,0 +1,552 @@
+package engine_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cairntiller/internal/clients"
+	"cairntiller/internal/engine"
+	"cairntiller/internal/exchange"
+	"cairntiller/internal/nodelist"
+	"cairntiller/internal/nodes"
+	"cairntiller/internal/opening"
+	"cairntiller/internal/pgwire"
+	"cairntiller/internal/route"
+)
+
+const (
+	welcome  = "R\x00\x00\x00\x08\x00\x00\x00\x00Z\x00\x00\x00\x05I"
+	ready    = "Z\x00\x00\x00\x05I"
+	rowStart = "T\x00\x00\x00\x1d\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"
+	rowValue = "D\x00\x00\x00\x0c\x00\x01\x00\x00\x00\x02\x9f\x00"
+	rowEnd   = "C\x00\x00\x00\x0dSELECT 1\x00"
+	row      = rowStart + rowValue + rowEnd
+)
+
+func status(name, value string) string {
+	return string(pgwire.Frame{Type: 'S', Body: []byte(name + "\x00" + value + "\x00")}.Append(nil))
+}
+
+func failure(code string) string { return string(pgwire.AppendError(nil, false, code, "no", 0)) }
+
+// scripted is a node: what it sends for each query in turn, "" for nothing and "!" at the end to close.
+type scripted struct {
+	addr    string
+	queries chan string
+	ended   chan bool // one for each connection that the router has ended
+	mu      sync.Mutex
+	replies []string
+	conns   []net.Conn
+}
+
+func script(t *testing.T, greeting string, replies ...string) *scripted {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{addr: ln.Addr().String(), queries: make(chan string, 99), ended: make(chan bool, 99), replies: replies}
+	t.Cleanup(func() {
+		ln.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			go s.serve(c, greeting)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) opened() []net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+func (s *scripted) serve(c net.Conn, greeting string) {
+	if _, err := readFrame(c, false); err != nil {
+		return
+	}
+	io.WriteString(c, greeting)
+	for {
+		q, err := readFrame(c, true)
+		if err != nil {
+			s.ended <- true
+			return
+		}
+		s.mu.Lock()
+		reply := ""
+		if len(s.replies) > 0 {
+			reply, s.replies = s.replies[0], s.replies[1:]
+		}
+		s.mu.Unlock()
+		s.queries <- string(q[5 : len(q)-1])
+		io.WriteString(c, strings.TrimSuffix(reply, "!"))
+		if strings.HasSuffix(reply, "!") {
+			c.Close()
+			return
+		}
+	}
+}
+
+func readFrame(c net.Conn, typed bool) ([]byte, error) {
+	head := make([]byte, 4, 5)
+	if typed {
+		head = head[:5]
+	}
+	if _, err := io.ReadFull(c, head); err != nil {
+		return nil, err
+	}
+	b := append(head, make([]byte, int(binary.BigEndian.Uint32(head[len(head)-4:]))-4)...)
+	_, err := io.ReadFull(c, b[len(head):])
+	return b, err
+}
+
+// ends collects what a pool reports, in place of an engine.
+type ends struct {
+	now     func() int64
+	mu      sync.Mutex // stands in for the engine's one goroutine, with queue for what is posted
+	queue   chan func()
+	results chan result
+}
+
+type result struct {
+	o     route.Outcome
+	r     *pgwire.Reply
+	probe string
+}
+
+func (e *ends) Ended(_ int64, _ *exchange.Dispatch, o route.Outcome, r *pgwire.Reply) {
+	e.results <- result{o: o, r: r}
+}
+
+func (e *ends) Probed(_ int64, _ string, _ int64, o route.Outcome, load string) {
+	e.results <- result{o: o, probe: load}
+}
+
+func (e *ends) post(at int64, do func(int64)) { e.queue <- func() { do(at) } }
+
+func (e *ends) run() {
+	for do := range e.queue {
+		e.mu.Lock()
+		do()
+		e.mu.Unlock()
+	}
+}
+
+func (e *ends) after(in int64, do func(int64)) {
+	time.AfterFunc(time.Duration(in)*time.Microsecond, func() { e.post(e.now(), do) })
+}
+
+func pool(t *testing.T, most int, placed ...*scripted) (*nodes.Pool, *ends) {
+	e := &ends{now: engine.Clock(), queue: make(chan func(), 999), results: make(chan result, 99)}
+	go e.run()
+	p := nodes.New(e.now, e.post, e.after, e, 150_000, 15_000_000, most)
+	for i, s := range placed {
+		p.Place(fmt.Sprint("n", i), s.addr)
+	}
+	return p, e
+}
+
+func (e *ends) send(p *nodes.Pool, node string, timeout int64) *exchange.Dispatch {
+	c, err := pgwire.DecodeCommand([]byte("/* id=1,c=look,d=1000,cluster=0 */ SELECT '1'"))
+	if err != nil {
+		panic(err)
+	}
+	now := e.now()
+	d := exchange.New(c, nil, 0, -1, now).Begin(node, now, timeout)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.Send(d)
+	return d
+}
+
+// TestOutcomes goes through the protocol page's table, and through what no sound node says.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		greeting, reply string
+		want            route.Outcome
+	}{
+		"row":                          {welcome, status("role", "primary") + row + ready, route.Answered},
+		"row, closed before ready":     {welcome, row + "!", route.Answered},
+		"no primary":                   {welcome, failure("25006"), route.Missed},
+		"too far behind":               {welcome, failure("72000"), route.Missed},
+		"error":                        {welcome, failure("XX000"), route.Errored},
+		"fatal error":                  {welcome, string(pgwire.AppendError(nil, true, "XX000", "no", 0)) + "!", route.Errored},
+		"turned away":                  {welcome, failure("53300"), route.Full},
+		"turned away while signing on": {string(pgwire.AppendError(nil, true, "53300", "no", 0)), "", route.Full},
+		"not let in":                   {string(pgwire.AppendError(nil, true, "28000", "no", 0)), "", route.Unconnected},
+		"password wanted":              {"R\x00\x00\x00\x08\x00\x00\x00\x03", "", route.Unconnected},
+		"never comes up":               {"", "", route.Unconnected},
+		"closed after the query":       {welcome, "!", route.Broken},
+		"closed within the row":        {welcome, rowStart + rowValue + "!", route.Broken},
+		"garbage":                      {welcome, "what is this", route.Broken},
+		"two rows":                     {welcome, rowStart + rowValue + rowValue + rowEnd + ready, route.Broken},
+		"a value too long":             {welcome, rowStart + "D\x00\x03\x00\x00", route.Broken},
+		"ready out of turn":            {welcome, ready, route.Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := script(t, c.greeting, c.reply)
+			p, e := pool(t, 9, s)
+			e.send(p, "n0", 0)
+			got := <-e.results
+			if got.o != c.want || got.o == route.Answered && string(got.r.Value) != row {
+				t.Errorf("%d, want %d: %+v", got.o, c.want, got.r)
+			}
+		})
+	}
+	p, e := pool(t, 9, &scripted{addr: "127.0.0.1:1"})
+	e.send(p, "n0", 0)
+	e.send(p, "nowhere", 0)
+	for range 2 {
+		if got := <-e.results; got.o != route.Unconnected {
+			t.Errorf("nobody listens there: %d", got.o)
+		}
+	}
+}
+
+// TestRowsNobodyAskedFor guards against an early row that would pass for the next query's answer.
+func TestRowsNobodyAskedFor(t *testing.T) {
+	s := script(t, welcome, row+ready+row+ready, row+ready)
+	p, e := pool(t, 9, s)
+	for range 2 {
+		e.send(p, "n0", 0)
+		if got := <-e.results; got.o != route.Answered {
+			t.Fatal(got.o)
+		}
+		if len(s.queries) == 1 {
+			<-s.ended
+		}
+	}
+	if len(s.opened()) != 2 {
+		t.Errorf("%d connections", len(s.opened()))
+	}
+}
+
+func TestConnectionsAreKeptReleasedAndBounded(t *testing.T) {
+	a, b := script(t, welcome, row+ready, row+ready, "", row+ready), script(t, welcome, row+ready, "")
+	p, e := pool(t, 2, a, b)
+	answered := func(node string) {
+		t.Helper()
+		e.send(p, node, 0)
+		if got := <-e.results; got.o != route.Answered {
+			t.Fatalf("%s: %d", node, got.o)
+		}
+	}
+	answered("n0")
+	answered("n0")
+	if n := len(a.opened()); n != 1 {
+		t.Errorf("%d connections for two queries in turn", n)
+	}
+	hung := e.send(p, "n0", 0) // no answer: it holds the first
+	answered("n1")
+	full := e.send(p, "n1", 0) // holds the second, so there is no room for a third
+	e.send(p, "n0", 0)
+	if got := <-e.results; got.o != route.Unconnected {
+		t.Fatalf("beyond the limit: %d", got.o)
+	}
+	e.mu.Lock()
+	for _, d := range []*exchange.Dispatch{hung, full} {
+		if !p.Stop(d) {
+			t.Error("a written dispatch that is stopped may have run")
+		}
+	}
+	e.mu.Unlock()
+	answered("n0")
+	e.mu.Lock()
+	p.Release("n0")
+	e.mu.Unlock()
+	for _, s := range []*scripted{a, a, b} { // two of the first, one of the second
+		<-s.ended
+	}
+}
+
+func TestProbe(t *testing.T) {
+	value := "x0=17.5,x1=1,inflight=7"
+	cell := fmt.Sprintf("\x00\x01\x00\x00\x00%c%s", len(value), value)
+	s := script(t, welcome, rowStart+string(pgwire.Frame{Type: 'D', Body: []byte(cell)}.Append(nil))+rowEnd+ready,
+		failure("57P03"), "")
+	p, e := pool(t, 9, s)
+	for _, want := range []result{{o: route.Answered, probe: value}, {o: route.Errored}, {o: route.TimedOut}} {
+		e.mu.Lock()
+		p.Probe("n0")
+		e.mu.Unlock()
+		if got := <-e.results; got.o != want.o || got.probe != want.probe {
+			t.Errorf("%+v, want %+v", got, want)
+		}
+		if q := <-s.queries; q != "SHOW load" {
+			t.Error(q)
+		}
+	}
+}
+
+// router is the whole router but for discovery, in front of scripted nodes; the first is the primary.
+type router struct {
+	addr   string
+	engine *engine.Engine
+	front  *clients.Front
+}
+
+func start(t *testing.T, most int, placed ...*scripted) *router {
+	t.Helper()
+	now := engine.Clock()
+	e := engine.New(now)
+	r := route.New(7, e)
+	names, err := opening.Values{"az": "a", "siblings": "1", "round": "5", "classes.count": "2", "classes.0.name": "look",
+		"classes.0.effect": "safe", "classes.0.aim": "400", "classes.0.hardLimit": "1000", "classes.0.points": "1",
+		"classes.1.name": "put", "classes.1.effect": "unsafe", "classes.1.aim": "400", "classes.1.hardLimit": "1000",
+		"classes.1.points": "1", "domain.readLevel": "any,write", "limits.maxAttempts": "3", "limits.cancel": "true",
+		"tenants.count": "1", "tenants.0.name": "acme", "tenants.0.quotaPerS": "100"}.Hand(r, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := nodes.New(now, e.Post, e.After, e, 250_000, 15_000_000, 99)
+	e.Join(r, pool)
+	front := clients.New(now, e, names.Groups, names.Tenants, most)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := &nodelist.List{Index: 1, Whole: true}
+	for i, s := range placed {
+		list.Nodes = append(list.Nodes, nodelist.Node{Name: fmt.Sprint("n", i), Address: s.addr, Zone: "a",
+			Kind: "m", Primary: i == 0})
+	}
+	e.Post(now(), r.Start)
+	e.Post(now(), func(now int64) {
+		e.Listed(now, list)
+		front.Open()
+	})
+	go e.Run()
+	go front.Serve(ln)
+	t.Cleanup(e.Stop)
+	return &router{ln.Addr().String(), e, front}
+}
+
+// dial opens a client's connection and waits until the router is ready.
+func (r *router) dial(t *testing.T) net.Conn {
+	t.Helper()
+	for {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		c.Write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "portal", "crm"), ""))
+		until(t, c, 'Z')
+		if got := until(t, c, 'Z'); got[0] == 'I' {
+			return c
+		}
+		c.Close() // still starting
+	}
+}
+
+// until reads messages up to one of a type, or the end, and returns them in a row.
+func until(t *testing.T, c net.Conn, last byte) (all []byte) {
+	t.Helper()
+	for {
+		f, err := readFrame(c, true)
+		if err != nil {
+			return append(all, "end"...)
+		}
+		if all = append(all, f...); f[0] == last {
+			return all
+		}
+	}
+}
+
+// brief names an answer: the row, or the error's code.
+func brief(p []byte) string {
+	if i := bytes.Index(p, []byte("\x00C")); i >= 0 && p[0] == 'E' {
+		return string(p[i+2 : i+7])
+	}
+	if string(p) == row+ready {
+		return "row"
+	}
+	return string(p)
+}
+
+func ask(c net.Conn, id, group, d string) {
+	c.Write(pgwire.AppendQuery(nil, "/* id="+id+",c="+group+",t=acme,d="+d+",cluster=0 */ SELECT '"+id+"'"))
+}
+
+// TestOneAnswerUnderEveryEnding: whatever the nodes do, each command has one answer, and the next one its own.
+func TestOneAnswerUnderEveryEnding(t *testing.T) {
+	bad, good := failure("XX000"), row+ready
+	for name, c := range map[string]struct {
+		group, want      string
+		primary, replica []string
+	}{
+		"answered":                      {"put", "row", []string{good}, nil},
+		"a write that may have run":     {"put", "58000", []string{"!", good}, nil},
+		"a write with no end":           {"put", "58000", []string{"", good}, nil},
+		"a write turned away once":      {"put", "row", []string{failure("53300"), good}, nil},
+		"a read that broke goes again":  {"look", "row", []string{good}, []string{"!", good}},
+		"a read with no end":            {"look", "53300", nil, nil},
+		"a read that meets errors only": {"look", "53300", []string{bad, bad, bad}, []string{bad, bad, bad}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, 9, script(t, welcome, c.primary...), script(t, welcome, c.replica...))
+			conn := r.dial(t)
+			ask(conn, "1", c.group, "600")
+			if got := brief(until(t, conn, 'Z')); got != c.want {
+				t.Errorf("%q, want %q", got, c.want)
+			}
+			conn.Write(pgwire.AppendQuery(nil, ""))
+			if got := until(t, conn, 'Z'); got[0] != 'I' {
+				t.Errorf("after its answer the connection said %q", got)
+			}
+			for r.engine.Owed() > 0 {
+				<-r.engine.Idle()
+			}
+		})
+	}
+}
+
+// TestPipelinedAnswersKeepTheirOrder: the second is answered first, and waits for its turn.
+func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
+	primary, replica := script(t, welcome, failure("XX000")), script(t, welcome, row+ready)
+	r := start(t, 9, primary, replica)
+	c := r.dial(t)
+	ask(c, "1", "put", "900")
+	ask(c, "2", "look", "900")
+	c.Write(pgwire.AppendQuery(nil, ""))
+	for _, want := range []string{"58000", "row", "I\x00\x00\x00\x04" + ready} {
+		if got := brief(until(t, c, 'Z')); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+// TestClientGone: its command's dispatch is called off, and the router owes nothing.
+func TestClientGone(t *testing.T) {
+	primary, replica := script(t, welcome), script(t, welcome, "")
+	r := start(t, 9, primary, replica)
+	c := r.dial(t)
+	ask(c, "1", "look", "900")
+	<-replica.queries
+	c.Close()
+	for r.engine.Owed() > 0 {
+		<-r.engine.Idle()
+	}
+	<-replica.ended
+}
+
+// TestEndBetweenCommands is a planned restart: what is taken is answered, then each connection ends.
+func TestEndBetweenCommands(t *testing.T) {
+	primary, replica := script(t, welcome), script(t, welcome, "")
+	r := start(t, 9, primary, replica)
+	busy, idle := r.dial(t), r.dial(t)
+	ask(busy, "1", "look", "900")
+	<-replica.queries
+	r.front.End()
+	if got := until(t, idle, 'Z'); string(got) != "end" {
+		t.Errorf("between commands: %q", got)
+	}
+	replica.opened()[0].Write([]byte(row + ready))
+	if got := brief(until(t, busy, 'Z')); got != "row" {
+		t.Errorf("taken before: %q", got)
+	}
+	if got := until(t, busy, 'Z'); string(got) != "end" {
+		t.Errorf("after its answer: %q", got)
+	}
+	busy.Close()
+	idle.Close()
+	r.front.Wait(5 * time.Second)
+}
+
+// TestBadInput: each gets its code; the connection lives on unless its stream can't be trusted any more.
+func TestBadInput(t *testing.T) {
+	r := start(t, 9, script(t, welcome, row+ready))
+	query := func(s string) string { return string(pgwire.AppendQuery(nil, s)) }
+	for in, c := range map[string]struct {
+		code  string
+		lives bool
+	}{
+		query("SELECT 1"):                                      {"22023", true},
+		query("/* id=1,c=none,d=9,cluster=0 */ x"):             {"22023", true},
+		query("/* id=1,c=look,t=none,d=9,cluster=0 */ x"):      {"22023", true},
+		query("/* id=1,c=look,d=9,cluster=0 */ SELECT 1; x"):   {"0A000", true},
+		query("/* id=1,c=look,d=9,cluster=0 */ SELECT 1\x00x"): {"08P01", false},
+		"P\x00\x00\x00\x08\x00\x00\x00\x00":                    {"0A000", true},
+		"d\x00\x00\x00\x04":                                    {"0A000", true},
+		"Q\x00\x00\x00\x04":                                    {"08P01", false},
+		"Q\xff\xff\xff\xff":                                    {"08P01", false},
+		"Q\x00\x00\x00\x00":                                    {"08P01", false},
+		"?\x00\x00\x00\x04":                                    {"08P01", false},
+	} {
+		conn := r.dial(t)
+		io.WriteString(conn, in)
+		last := byte('Z')
+		if !c.lives {
+			last = 'E'
+		}
+		if got := brief(until(t, conn, last)); got != c.code {
+			t.Errorf("%q: %q, want %q", in, got, c.code)
+		}
+		if !c.lives {
+			if got := until(t, conn, 0); string(got) != "end" {
+				t.Errorf("%q: it goes on with %q", in, got)
+			}
+			continue
+		}
+		conn.Write(pgwire.AppendQuery(nil, " ; "))
+		if got := until(t, conn, 'Z'); got[0] != 'I' {
+			t.Errorf("%q: then %q", in, got)
+		}
+	}
+}
+
+func TestOpenings(t *testing.T) {
+	r := start(t, 1, script(t, welcome))
+	first := r.dial(t)
+	for in, want := range map[string]string{
+		"\x00\x00\x00\x08\x04\xd2\x16\x2f":                                 "N", // SSLRequest
+		"\x00\x00\x00\x08\x04\xd2\x16\x30":                                 "N", // GSSENCRequest
+		"\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x00\x00\x00\x00\x00": "",  // CancelRequest
+		"\x00\x00\x00\x08\x00\x02\x00\x00":                                 "0A000",
+		"\x00\x00\x00\x03":                                                 "08P01",
+		"\x7f\x00\x00\x00":                                                 "08P01",
+		string(pgwire.AppendStartup(nil, "a", "b")):                        "53300", // one too many
+	} {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		io.WriteString(c, in)
+		if want == "N" {
+			b := make([]byte, 1)
+			if _, err := io.ReadFull(c, b); err != nil || b[0] != 'N' {
+				t.Errorf("%q: %q, %v", in, b, err)
+			}
+		} else if got := strings.TrimSuffix(brief(until(t, c, 'Z')), "end"); got != want {
+			t.Errorf("%q: %q, want %q", in, got, want)
+		}
+		c.Close()
+	}
+	first.Write(pgwire.AppendQuery(nil, ""))
+	if got := until(t, first, 'Z'); got[0] != 'I' {
+		t.Errorf("the first connection then said %q", got)
+	}
+}
--- /dev/null
+++ b/internal/nodelist/nodelist_test.go
@@ -0,0 +1,59 @@
+package nodelist
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"cairntiller/internal/route"
+)
+
+const entry = `{"name":"s-1","address":"127.0.0.1:1","zone":"a","type":"m","group":3,"status":"leaving","weight":1.0,` +
+	`"since_ms":17.5,"role":"primary","new":{}}`
+
+func TestDecode(t *testing.T) {
+	l, err := Decode([]byte(`{"index":41,"snapshot":true,"endpoints":[` + entry + `],"more":1}`))
+	want := Node{"s-1", "127.0.0.1:1", "a", "m", 3, route.Draining, true, 17_500}
+	if err != nil || l.Index != 41 || !l.Whole || len(l.Nodes) != 1 || l.Nodes[0] != want {
+		t.Errorf("%+v, %v", l, err)
+	}
+	for _, bad := range []string{"", "{", `{"endpoints":[]}`, `{"index":"1"}`, `[1]`,
+		`{"index":1,"endpoints":[` + strings.Replace(entry, "leaving", "asleep", 1) + `]}`,
+		`{"index":1,"endpoints":[` + strings.Replace(entry, "s-1", "", 1) + `]}`} {
+		if l, err := Decode([]byte(bad)); err == nil {
+			t.Errorf("%q was read as %+v", bad, l)
+		}
+	}
+}
+
+// TestWatchGoesOn guards against a watch that breaks, stops making sense or falls back: the list goes on from
+// the last version that was taken.
+func TestWatchGoesOn(t *testing.T) {
+	asked := make(chan string, 9)
+	answers := []string{"{\"index\":5,\"snapshot\":true,\"endpoints\":[]}\n\n{\"index\":6,\"endpoints\":[]}\n",
+		"{\"index\":7,\"endp", "{\"index\":4,\"endpoints\":[]}\n{\"index\":8,\"endpoints\":[" + entry + "]}\n", "?"}
+	n := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		fmt.Fprint(w, answers[min(n, len(answers)-1)])
+		n++
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	got := make(chan int64, 9)
+	go Watch(ctx, strings.TrimPrefix(srv.URL, "http://"), 3, func(l *List) { got <- l.Index })
+	for _, want := range []int64{5, 6, 8} {
+		if i := <-got; i != want {
+			t.Errorf("version %d, want %d", i, want)
+		}
+	}
+	for _, want := range []string{"3", "6", "6", "8"} {
+		if q := <-asked; q != "follow=1&since="+want {
+			t.Errorf("asked %s, want %s", q, want)
+		}
+	}
+}
