--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -16,6 +16,7 @@
 	sweepEvery    = 20_000  // us; the module's own beat: far under any response target
 	rotationLag   = 2e6     // us; the design's bound past which a replica leaves rotation
 	holdShare     = 0.25    // of a command group's timeout; the design's "small part" of a read's time
+	writeShare    = 0.45    // of its time that a write waits unsent: under half, for its client to come again
 	lagEqual      = 250_000 // us; replicas whose lags differ by less are equally likely to be fresh
 	probeGap      = 30_000  // us between probes for held reads; the design's "few tens of milliseconds"
 	askGap        = 50_000  // us between asks for an unknown primary: one at a time, yet soon through a group
@@ -223,10 +224,11 @@
 	// Sent later than two usual responses before a limit, most answers would come after it.
 	need, least := int64(holdUsual*g.usual[group]), int64(holdLeast*float64(g.targets[group]))
 	c.prime, c.holdUntil = max(now+least, target-need), max(now+least, c.deadline-need)
+	hold := int64(writeShare * float64(left)) // a write's client can still use the rest for another try
 	if g.level[group] != Write {
-		c.holdUntil = min(c.holdUntil, c.prime, now+int64(holdShare*float64(g.timeout[group])))
+		hold = min(c.prime-now, int64(holdShare*float64(g.timeout[group])))
 	}
-	c.holdUntil = min(c.holdUntil, c.deadline-deadlineGuard)
+	c.holdUntil = min(c.holdUntil, now+hold, c.deadline-deadlineGuard)
 	r.cmds[id] = c
 	r.copiesLeft = min(extraStore, r.copiesLeft+extraShare)
 	r.probesLeft = min(extraStore, r.probesLeft+extraShare)
@@ -449,8 +451,7 @@
 	if len(m) == 0 || now-r.shard.askedAt[sh] < askGap {
 		return -1
 	}
-	r.shard.askedAt[sh] = now
-	r.shard.turn[sh]++
+	r.shard.askedAt[sh], r.shard.turn[sh] = now, r.shard.turn[sh]+1
 	n := m[r.shard.turn[sh]%len(m)]
 	if !r.probeRole {
 		return n
@@ -734,9 +735,8 @@
 	if now-r.beatAt > standstill { // the router stood still itself: no node was silent for that
 		r.stalled = now
 	}
-	r.beatAt = now
+	r.beatAt, r.beat = now, r.beat+1
 	s := &r.node
-	r.beat++
 	for i := range s.id {
 		n := (i + r.beat) % len(s.id)
 		r.listen(n, now)
