Do not take the return of a node that was cut off for a lack of connections

Traced: a connection is refused, the probes that follow fail for seven seconds, the machine is back, the next probe is answered, and the module concludes that connections are scarce: it keeps none idle for 10 s, a handshake a command. Ruled out: nodes that close idle connections (none), withdrawn dispatches (81 at a hung node). Lines: Probed, where a failed probe left the mark of the refused connection in place. A failed probe now takes it away.

--- a/internal/pgwire/command.go
+++ b/internal/pgwire/command.go
@@ -63,7 +63,7 @@
 }
 
 func (c *Command) field(name string, value []byte, at int, ok bool) (err error) {
-	if !ok {
+	if !ok || len(value) == 0 {
 		return invalid(name, "no value")
 	}
 	switch name {
@@ -88,7 +88,7 @@
 			return invalid(name, "before all time")
 		}
 	}
-	if err != nil || len(value) == 0 {
+	if err != nil {
 		return invalid(name, "no number")
 	}
 	return nil
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -714,8 +714,8 @@
 	s := &r.node
 	s.probing[n] = false
 	switch refused := s.refused[n] > 0; {
-	case o != Answered:
-		s.suspect[n] = s.suspect[n] || refused
+	case o != Answered: // dead or cut off: that it is there again later does not mean that it was out of places
+		s.suspect[n], s.refused[n] = s.suspect[n] || refused, 0
 	case refused: // it lives and yet took no connection
 		for m := 0; now >= r.scarceTill && m < len(s.id); m++ {
 			r.act.Release(s.id[m])
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -374,6 +374,19 @@
 	}
 }
 
+// TestReturnIsNoScarcity: a node that was cut off and comes back had places all the time.
+func TestReturnIsNoScarcity(t *testing.T) {
+	w := group(t, 1, 2)
+	w.arrive("a", gMutating, 0, 4e6, 0)
+	w.answer(0, Unconnected, RoleUnknown, 0)
+	w.r.Probed(w.now, "g0n0", 250_000, Unconnected)
+	w.step(300_000)
+	w.r.Probed(w.now, "g0n0", 1_000, Answered)
+	if w.r.node.suspect[0] || len(w.dropped) > 0 || len(w.open) != 1 {
+		t.Fatal("silent:", w.r.node.suspect[0], "released:", w.dropped, "out:", len(w.open))
+	}
+}
+
 // Late answers and clients that leave close all gates; a standstill and a client's short timeout do not.
 func TestGates(t *testing.T) {
 	for name, move := range map[string]func(w *world){
