Give the library one poller and our log; close idle connections to removed nodes

Found in reading all new code whole: a field that nothing used, idle connections to nodes that the list calls gone kept to their idle limit, the network library's own log beside slog, and no upper bound on the time a client names.

--- a/cmd/cairntiller/main.go
+++ b/cmd/cairntiller/main.go
@@ -26,6 +26,7 @@
 	"cairntiller/internal/nodes"
 	"cairntiller/internal/opening"
 	"cairntiller/internal/route"
+	"cairntiller/internal/stream"
 )
 
 const (
@@ -105,6 +106,9 @@
 	}
 	forClients := int(float64(sockets-spareSockets) * clientShare)
 
+	if err := stream.Setup(slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn).Writer()); err != nil {
+		return err
+	}
 	now := engine.Clock()
 	e := engine.New(now)
 	r := route.New(seed(t.Seed), e)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -44,7 +44,6 @@
 	most    int // connections at once
 	ready   atomic.Bool
 	held    atomic.Int64 // bytes of commands in hand
-	loop    netpoll.EventLoop
 
 	mu     sync.Mutex
 	conns  map[*conn]bool
@@ -60,7 +59,7 @@
 // Open tells that commands can be taken from now on.
 func (f *Front) Open() { f.ready.Store(true) }
 
-// Serve takes connections until End.
+// Serve takes connections; it returns only when that fails.
 func (f *Front) Serve(ln net.Listener) error {
 	loop, err := netpoll.NewEventLoop(func(context.Context, netpoll.Connection) error { return nil },
 		netpoll.WithOnPrepare(func(c netpoll.Connection) context.Context {
@@ -70,9 +69,6 @@
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	f.loop = loop
-	f.mu.Unlock()
 	return loop.Serve(ln)
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -54,7 +54,6 @@
 	table  map[string]*exchange.Exchange
 	clock  int64 // time of the event being handled
 	timers timers
-	fields []string // what a node's report calls its figures
 
 	mu    sync.Mutex
 	queue []event
@@ -282,7 +281,9 @@
 	lists.Add()
 	e.router.ListBegins(now, l.Whole)
 	for _, n := range l.Nodes {
-		if n.State != route.Removed {
+		if n.State == route.Removed {
+			e.nodes.Release(n.Name)
+		} else {
 			e.nodes.Place(n.Name, n.Address)
 		}
 		e.router.ListNode(now, n.Name, n.Zone, n.Kind, n.Shard, n.State, n.Primary, n.Started)
--- a/internal/pgwire/command.go
+++ b/internal/pgwire/command.go
@@ -7,6 +7,8 @@
 	"cairntiller/internal/decimal"
 )
 
+const mostTimeout = 24 * 3_600_000_000 // us; no client waits longer, and sums of times stay far from overflow
+
 // Command is a client's query, decoded once: what its leading comment says, and its text.
 type Command struct {
 	ID, Group, Tenant, Session string
@@ -77,8 +79,8 @@
 		c.Timeout, err = decimal.Micros(value)
 		c.timeFrom = at + bytes.Index(c.statement[at:], value)
 		c.timeTo = c.timeFrom + len(value)
-		if err == nil && c.Timeout <= 0 {
-			return invalid(name, "no time above zero")
+		if err == nil && (c.Timeout <= 0 || c.Timeout > mostTimeout) {
+			return invalid(name, "no time above zero and up to a day")
 		}
 	case "cluster":
 		c.Shard, err = strconv.Atoi(string(value))
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -34,6 +34,7 @@
 		"/* id=1,c=a,d=,cluster=1 */ x":                      "d",
 		"/* id=1,c=a,d=-4,cluster=1 */ x":                    "d",
 		"/* id=1,c=a,d=1e3,cluster=1 */ x":                   "d",
+		"/* id=1,c=a,d=86400001,cluster=1 */ x":              "d",
 		"/* id=1,c=a,d=99999999999999999999,cluster=1 */ x":  "d",
 		"/* id=1,c=a,d=1 */ x":                               "cluster",
 		"/* id=1,c=a,d=1,cluster=z */ x":                     "cluster",
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"syscall"
 	"time"
@@ -45,6 +46,11 @@
 	done  func(error)
 }
 
+// Setup gives the library one poller, which is enough for one core, and a place for its log.
+func Setup(log io.Writer) error {
+	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log})
+}
+
 // Dial opens a connection, bounded in time; it blocks.
 func Dial(address string, wait time.Duration) (netpoll.Connection, error) {
 	return netpoll.DialConnection("tcp", address, wait)
