While leaving, end a connection after a command's answer, not after its startup

Found in reading: a client that connects while the front moves away may send its command with its startup; the router closed the connection once the startup was answered, with the command read and dropped.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -290,11 +290,14 @@
 	c.flush()
 }
 
-// flush writes the answers that are next in turn. Called under the lock.
+// flush writes the answers that are next in turn. While the router leaves, a command's answer is the last: a
+// connection that has just come up may bring its command with its startup. Called under the lock.
 func (c *conn) flush() {
+	last := false
 	for len(c.slots) > 0 && (c.slots[0].bytes != nil || c.slots[0].fatal) {
 		s := c.slots[0]
 		c.slots = c.slots[1:]
+		last = last || s.x != nil
 		if s.bytes != nil {
 			c.stream.Write(s.bytes, nil)
 		}
@@ -304,7 +307,7 @@
 		}
 	}
 	c.calm.Store(len(c.slots) == 0 && c.started && !c.closed)
-	if c.front.endingNow() {
+	if last && c.front.endingNow() {
 		c.endIfDone()
 	}
 }
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -471,6 +471,21 @@
 	if got := until(t, busy, 'Z'); string(got) != "end" {
 		t.Errorf("after its answer: %q", got)
 	}
+	late, err := net.Dial("tcp", r.addr) // the front has not moved away: its command comes with its startup
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	late.SetDeadline(time.Now().Add(20 * time.Second))
+	late.Write(pgwire.AppendStartup(nil, "portal", "crm"))
+	until(t, late, 'Z')
+	ask(late, "2", "look", "900")
+	<-replica.queries
+	replica.opened()[0].Write([]byte(row + ready))
+	if got := brief(until(t, late, 'Z')); got != "row" {
+		t.Errorf("come while leaving: %q", got)
+	}
+	late.Close()
 	busy.Close()
 	idle.Close()
 	r.front.Wait(5 * time.Second)
