--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -45,10 +45,11 @@
 	ready   atomic.Bool
 	held    atomic.Int64 // bytes of commands in hand
 
-	mu     sync.Mutex
-	conns  map[*conn]bool
-	next   uint32
-	ending bool
+	ending atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]bool
+	next  uint32
 }
 
 // New makes a front that knows command groups and tenants by name.
@@ -95,8 +96,8 @@
 
 // End closes connections as soon as nothing is owed on them; what still comes on others is taken.
 func (f *Front) End() {
+	f.ending.Store(true)
 	f.mu.Lock()
-	f.ending = true
 	all := make([]*conn, 0, len(f.conns))
 	for c := range f.conns {
 		all = append(all, c)
@@ -119,12 +120,6 @@
 	}
 }
 
-func (f *Front) endingNow() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.ending
-}
-
 // conn is one client's connection.
 type conn struct {
 	front  *Front
@@ -164,7 +159,7 @@
 		f, whole, err := c.split.Next()
 		if err != nil {
 			malformed.Add()
-			c.local(pgwire.AppendError(nil, true, pgwire.CodeProtocol, err.Error(), 0), true)
+			c.refuse(true, pgwire.CodeProtocol, err.Error())
 			return
 		}
 		if !whole {
@@ -189,16 +184,15 @@
 	case opening == pgwire.OpenStartup || opening == pgwire.OpenStartupNewer:
 		if c.over {
 			turned.Add()
-			c.local(pgwire.AppendError(nil, true, pgwire.CodeThrottled, "too many connections", 0), true)
+			c.refuse(true, pgwire.CodeThrottled, "too many connections")
 			return
 		}
 		c.started = true
-		c.split.Typed()
-		c.split.Most(mostQuery)
+		c.split.Typed(mostQuery)
 		c.local(pgwire.AppendWelcome(nil, opening == pgwire.OpenStartupNewer, c.number), false)
 	default:
 		malformed.Add()
-		c.local(pgwire.AppendError(nil, true, pgwire.CodeUnsupported, "unsupported frontend protocol", 0), true)
+		c.refuse(true, pgwire.CodeUnsupported, "unsupported frontend protocol")
 	}
 }
 
@@ -209,7 +203,7 @@
 		statement, ok := pgwire.DecodeQuery(f)
 		if !ok {
 			malformed.Add()
-			c.local(pgwire.AppendError(nil, true, pgwire.CodeProtocol, "invalid string in message", 0), true)
+			c.refuse(true, pgwire.CodeProtocol, "invalid string in message")
 			return
 		}
 		c.query(at, statement)
@@ -220,19 +214,19 @@
 		c.stream.Close()
 	case 'P', 'B', 'E', 'D', 'C', 'F', 'd', 'c', 'f':
 		unread.Add()
-		c.local(pgwire.AppendError(nil, false, pgwire.CodeUnsupported, "only simple queries are supported", 0), false)
+		c.refuse(false, pgwire.CodeUnsupported, "only simple queries are supported")
 	case 'S', 'H': // what follows the refused messages above
 		c.local(pgwire.AppendReady(nil), false)
 	default:
 		malformed.Add()
-		c.local(pgwire.AppendError(nil, true, pgwire.CodeProtocol, "invalid frontend message type", 0), true)
+		c.refuse(true, pgwire.CodeProtocol, "invalid frontend message type")
 	}
 }
 
 // query takes a command.
 func (c *conn) query(at int64, statement []byte) {
 	if !c.front.ready.Load() {
-		c.local(pgwire.AppendError(nil, false, pgwire.CodeNotReady, "the router is starting up", 0), false)
+		c.refuse(false, pgwire.CodeNotReady, "the router is starting up")
 		return
 	}
 	if pgwire.Blank(statement) {
@@ -260,7 +254,7 @@
 			code = field.Code
 		}
 		slog.Debug("query refused", "err", err)
-		c.local(pgwire.AppendError(nil, false, code, err.Error(), 0), false)
+		c.refuse(false, code, err.Error())
 		return
 	}
 	x := exchange.New(cmd, c, group, tenant, at)
@@ -275,10 +269,15 @@
 	if room {
 		c.front.taker.Take(at, x)
 	} else {
-		c.local(pgwire.AppendError(nil, false, pgwire.CodeThrottled, "too many commands in hand", 0), false)
+		c.refuse(false, pgwire.CodeThrottled, "too many commands in hand")
 	}
 }
 
+// refuse answers with an error of the router's own; a fatal one ends the connection.
+func (c *conn) refuse(fatal bool, code, message string) {
+	c.local(pgwire.AppendError(nil, fatal, code, message, 0), fatal)
+}
+
 // local answers without a node, in its turn.
 func (c *conn) local(p []byte, fatal bool) {
 	c.mu.Lock()
@@ -307,7 +306,7 @@
 		}
 	}
 	c.calm.Store(len(c.slots) == 0 && c.started && !c.closed)
-	if last && c.front.endingNow() {
+	if last && c.front.ending.Load() {
 		c.endIfDone()
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -232,12 +232,8 @@
 	}
 	outcomes[o].Add()
 	took := now - d.Sent
-	if o == route.Answered {
-		owed := !x.Final()
-		x.Answer(r.Value)
-		if owed {
-			e.owe(-1)
-		}
+	if o == route.Answered && x.Answer(r.Value) {
+		e.owe(-1)
 	}
 	if r != nil {
 		role := route.RoleUnknown
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -102,15 +102,16 @@
 // Final tells whether the command has had its answer, or needs none any more.
 func (x *Exchange) Final() bool { return x.final }
 
-// Answer gives the client a node's value; a later one is counted and ends here.
-func (x *Exchange) Answer(value []byte) {
+// Answer gives the client a node's value; a later one is counted and ends here. It tells whether one was owed.
+func (x *Exchange) Answer(value []byte) bool {
 	if x.final {
 		late.Add()
-		return
+		return false
 	}
 	x.final = true
 	answered.Add()
 	x.client.Answer(x, value)
+	return true
 }
 
 // Throttle tells the client that nothing ran and when to come again.
--- a/internal/nodes/link.go
+++ b/internal/nodes/link.go
@@ -79,8 +79,8 @@
 	errEnded   fault = "the connection ended"
 )
 
-// usable tells whether the connection may carry a query: it lives, and has been idle only since later than a time.
-func (l *link) usable(since int64) bool { return l.up && !l.ended.Load() && l.since > since }
+// usable tells whether the connection may carry a query: it lives, and has not been idle for too long.
+func (l *link) usable(now int64) bool { return l.up && !l.ended.Load() && now-l.since < l.pool.idle }
 
 func (l *link) signal(code string, err error) {
 	select {
@@ -98,40 +98,54 @@
 		if err == nil && !whole {
 			return
 		}
+		refused := false
 		if err == nil && l.greeting != nil {
-			done, bad := l.greeting.Take(f)
-			if done {
-				l.signal(l.greeting.Code, bad)
-				if bad != nil || l.greeting.Code != "" {
-					l.stream.Close()
-					return
-				}
-				l.greeting = nil
-			}
-			if err = bad; err == nil {
-				continue
-			}
-		}
-		done := false
-		if err == nil {
-			done, err = l.reply.Take(f)
-		}
-		if err == nil && l.told == l.asked.Load() && (done || l.reply.Begun()) { // it answers what nobody asked
-			err = pgwire.ErrTurn
+			refused, err = l.greet(f)
+		} else if err == nil {
+			err = l.answer(at, f)
 		}
 		if err != nil {
 			l.distrust(at, err)
-			return
 		}
-		if done {
-			l.told++
-			r := l.reply
-			l.reply = &pgwire.Reply{}
-			l.pool.post(at, func(now int64) { l.pool.replied(now, l, r) })
+		if err != nil || refused {
+			return
 		}
 	}
 }
 
+// greet takes a message of signing on; refused tells that the node has ended it.
+func (l *link) greet(f pgwire.Frame) (refused bool, err error) {
+	done, err := l.greeting.Take(f)
+	if !done || err != nil {
+		return false, err
+	}
+	code := l.greeting.Code
+	l.signal(code, nil)
+	l.greeting = nil
+	if code != "" {
+		l.stream.Close()
+	}
+	return code != "", nil
+}
+
+// answer takes a message of a reply and passes on a whole one.
+func (l *link) answer(at int64, f pgwire.Frame) error {
+	done, err := l.reply.Take(f)
+	if err != nil {
+		return err
+	}
+	if l.told == l.asked.Load() && (done || l.reply.Begun()) { // it answers what nobody asked
+		return pgwire.ErrTurn
+	}
+	if done {
+		l.told++
+		r := l.reply
+		l.reply = &pgwire.Reply{}
+		l.pool.post(at, func(now int64) { l.pool.replied(now, l, r) })
+	}
+	return nil
+}
+
 // distrust ends a connection of which nothing more can be believed; what it carries may have run.
 func (l *link) distrust(at int64, err error) {
 	garbage.Add()
--- a/internal/nodes/pool.go
+++ b/internal/nodes/pool.go
@@ -40,7 +40,7 @@
 	connect int64 // us in which a connection must be up, and a probe answered
 	idle    int64 // us after which a connection without work is closed
 	most    int   // connections to all nodes together
-	open    int
+	open    int   // those that are up or being dialled
 	nodes   map[string]*node
 	at      map[*exchange.Dispatch]*job
 }
@@ -123,13 +123,13 @@
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		l := n.idle[i]
 		n.idle = n.idle[:i]
-		if l.usable(p.now() - p.idle) {
+		if l.usable(p.now()) {
 			p.give(l, j)
 			return
 		}
 		p.drop(l)
 	}
-	if p.open+p.diallingAll() >= p.most && !p.spare() {
+	if p.open >= p.most && !p.spare() {
 		crowded.Add()
 		p.later(j, route.Unconnected)
 		return
@@ -150,13 +150,6 @@
 	p.post(p.now(), func(now int64) { p.end(now, j, o, nil) })
 }
 
-func (p *Pool) diallingAll() (sum int) {
-	for _, n := range p.nodes {
-		sum += n.dialling
-	}
-	return sum
-}
-
 // spare closes the connection that has been idle longest.
 func (p *Pool) spare() bool {
 	var oldest *node
@@ -175,17 +168,18 @@
 
 func (p *Pool) dial(n *node) {
 	n.dialling++
+	p.open++
 	go func() {
 		l, code, err := connect(n, p.connect, p)
 		p.post(p.now(), func(now int64) {
 			n.dialling--
 			if err == nil {
 				dialled.Add()
-				p.open++
 				l.up = true
 				p.free(now, l)
 				return
 			}
+			p.open--
 			refused.Add()
 			slog.Debug("no connection", "node", n.name, "err", err, "code", code)
 			if len(n.waiting) > n.dialling { // one job for each that is still being dialled
@@ -215,7 +209,7 @@
 	n := l.node
 	l.job, l.since = nil, now
 	switch {
-	case !l.usable(now - p.idle):
+	case !l.usable(now):
 		p.drop(l)
 	case len(n.waiting) > 0:
 		j := n.waiting[0]
@@ -228,11 +222,16 @@
 	}
 }
 
-func (p *Pool) drop(l *link) {
+// down notes that a connection is of no more use.
+func (p *Pool) down(l *link) {
 	if l.up {
 		l.up = false
 		p.open--
 	}
+}
+
+func (p *Pool) drop(l *link) {
+	p.down(l)
 	l.stream.Close()
 }
 
@@ -310,10 +309,7 @@
 		j.node.unwait(j)
 		return false
 	}
-	if j.link.up {
-		j.link.up = false
-		p.open--
-	}
+	p.down(j.link)
 	j.link.stream.Cut()
 	return true
 }
@@ -323,7 +319,7 @@
 	for _, n := range p.nodes {
 		keep := n.idle[:0]
 		for _, l := range n.idle {
-			if l.usable(now - p.idle) {
+			if l.usable(now) {
 				keep = append(keep, l)
 			} else {
 				p.drop(l)
--- a/internal/pgwire/backend.go
+++ b/internal/pgwire/backend.go
@@ -45,7 +45,6 @@
 
 // Take adds one message; done tells that the node is ready for the next query.
 func (r *Reply) Take(f Frame) (done bool, err error) {
-	after := map[byte]byte{'T': 0, 'D': 'T', 'C': 'D', 'E': 0} // the message that each must follow
 	switch f.Type {
 	case 'S':
 		return false, r.status(f)
@@ -57,7 +56,7 @@
 		}
 		return true, nil
 	case 'T', 'D', 'C':
-		if r.last != after[f.Type] {
+		if f.Type == 'T' && r.last != 0 || f.Type == 'D' && r.last != 'T' || f.Type == 'C' && r.last != 'D' {
 			return false, ErrTurn
 		}
 		if f.Type != 'C' && (len(f.Body) < 2 || binary.BigEndian.Uint16(f.Body) != 1) { // one column
--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -39,8 +39,8 @@
 	s.buf = append(s.buf, p...)
 }
 
-// Typed tells that from now on messages have a type byte.
-func (s *Splitter) Typed() { s.untyped = false }
+// Typed tells that from now on messages have a type byte, and bodies up to most bytes.
+func (s *Splitter) Typed(most int) { s.untyped, s.most = false, most }
 
 // Next takes the next whole message; whole is false until more has arrived.
 func (s *Splitter) Next() (f Frame, whole bool, err error) {
@@ -84,6 +84,3 @@
 	}
 	return "", nil, false
 }
-
-// Most changes the longest body taken.
-func (s *Splitter) Most(n int) { s.most = n }
