Read the configuration again on SIGHUP and move the watch to its discovery

The router took no notice of SIGHUP (it would have ended had the signal not been ignored by whoever started it): main.go waited for SIGTERM, SIGINT and SIGUSR1 only, RELAY_DISCOVERY stood over the file for ever, and the watch kept its address. So no list arrived after the old discovery had closed. Ruled out: the module, whose drains hold as soon as the list comes. Now signals are waited for before anything is read, the file is read whole or rejected, and a new address there ends the old watch and asks the new discovery for its whole list, whatever its version.

--- a/cmd/cairntiller/main.go
+++ b/cmd/cairntiller/main.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -37,6 +38,11 @@
 	lastWait     = 300 * time.Millisecond // for clients to read their last answers
 )
 
+var (
+	reloads  = counters.New("configurations read anew")
+	rejected = counters.New("configurations rejected")
+)
+
 // told is what the platform tells a router.
 type told struct {
 	Name, Listen, Discovery, Seed string
@@ -60,6 +66,7 @@
 	}
 }
 
+// read takes the configuration whole or not at all.
 func read() (t told, known *nodelist.List, values opening.Values, err error) {
 	path := os.Getenv("RELAY_CONFIG")
 	raw, err := os.ReadFile(path)
@@ -69,15 +76,6 @@
 	if err != nil {
 		return t, nil, nil, fmt.Errorf("RELAY_CONFIG %q: %w", path, err)
 	}
-	for name, at := range map[string]*string{"RELAY_NAME": &t.Name, "RELAY_LISTEN": &t.Listen,
-		"RELAY_DISCOVERY": &t.Discovery} {
-		if v := os.Getenv(name); v != "" {
-			*at = v
-		}
-	}
-	if t.Listen == "" || t.Discovery == "" {
-		return t, nil, nil, errors.New("no address to listen on, or none of discovery")
-	}
 	if values, err = opening.FromJSON(t.Settings); err != nil {
 		return t, nil, nil, fmt.Errorf("settings: %w", err)
 	}
@@ -89,11 +87,49 @@
 	return t, known, values, nil
 }
 
+// reload reads the configuration again and returns it as it holds from now on, with the address of discovery
+// where that is another than the file named before. All else takes a new start, which the log says.
+func reload(held told) (now told, moved string) {
+	fresh, _, _, err := read()
+	if err == nil {
+		_, _, err = net.SplitHostPort(fresh.Discovery)
+	}
+	if err != nil {
+		rejected.Add()
+		slog.Error("configuration rejected; the old one holds", "err", err)
+		return held, ""
+	}
+	reloads.Add()
+	if fresh.Discovery != held.Discovery {
+		moved = fresh.Discovery
+	}
+	slog.Info("configuration read anew", "discovery", fresh.Discovery, "moved", moved != "")
+	held.Discovery, held.Known = fresh.Discovery, fresh.Known
+	if !reflect.DeepEqual(held, fresh) {
+		slog.Warn("what changed beside the address of discovery takes a new start")
+	}
+	return held, moved
+}
+
 func run() error {
-	t, known, values, err := read()
+	// Before all else: a signal that nobody waits for would end the process.
+	stops, calls := make(chan os.Signal, 1), make(chan os.Signal, 8)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(calls, syscall.SIGHUP, syscall.SIGUSR1)
+	held, known, values, err := read()
 	if err != nil {
 		return err
 	}
+	t := held // the environment stands over the file, until the file changes
+	for name, at := range map[string]*string{"RELAY_NAME": &t.Name, "RELAY_LISTEN": &t.Listen,
+		"RELAY_DISCOVERY": &t.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*at = v
+		}
+	}
+	if t.Listen == "" || t.Discovery == "" {
+		return errors.New("no address to listen on, or none of discovery")
+	}
 	if t.Limits.Cores > 0 { // and one for the poller, which sits in the kernel most of the time
 		runtime.GOMAXPROCS(int(math.Ceil(t.Limits.Cores)) + 1)
 	}
@@ -141,22 +177,26 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run()
-	go nodelist.Watch(ctx, t.Discovery, index, listed)
+	moves := make(chan string, 1)
+	go nodelist.Follow(ctx, t.Discovery, index, moves, listed)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(ln) }()
 	slog.Info("serving", "name", t.Name, "listen", t.Listen, "sockets", sockets)
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	for {
 		select {
 		case err := <-served:
 			return fmt.Errorf("no longer listening: %w", err)
-		case s := <-signals:
+		case s := <-calls:
 			if s == syscall.SIGUSR1 {
 				counters.Print(os.Stderr)
 				continue
 			}
+			var moved string
+			if held, moved = reload(held); moved != "" {
+				moves <- moved
+			}
+		case <-stops:
 			slog.Info("leaving", "owed", e.Owed())
 			leave(e, front)
 			counters.Print(os.Stderr)
--- a/cmd/cairntiller/main_test.go
+++ b/cmd/cairntiller/main_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"cairntiller/internal/counters"
 	"cairntiller/internal/pgwire"
 )
 
@@ -32,7 +33,8 @@
 	t.Setenv("RELAY_CONFIG", path)
 }
 
-// TestStartToStop: not ready before there is a list, serving after it, and on SIGTERM nothing taken is lost.
+// TestStartToStop: not ready before there is a list, and a SIGHUP without a usable file changes nothing; with one
+// the list comes from its discovery, whatever the environment named; on SIGTERM nothing taken is lost.
 func TestStartToStop(t *testing.T) {
 	silent, err := net.Listen("tcp", "127.0.0.1:0") // a node that never comes up
 	if err != nil {
@@ -58,7 +60,8 @@
 	}
 	listen := free.Addr().String()
 	free.Close()
-	configured(t, fmt.Sprintf(config, listen, strings.TrimPrefix(discovery.URL, "http://")))
+	configured(t, fmt.Sprintf(config, listen, "127.0.0.1:1")) // where nobody answers
+	t.Setenv("RELAY_DISCOVERY", "127.0.0.1:1")
 	ended := make(chan error, 1)
 	go func() { ended <- run() }()
 
@@ -89,6 +92,25 @@
 	if got := answer(empty); !strings.Contains(got, "C57P03") {
 		t.Errorf("without a list: %q", got)
 	}
+	hangUp := func(text string, counted *counters.Counter) {
+		t.Helper()
+		if err := os.WriteFile(os.Getenv("RELAY_CONFIG"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		before := counted.Count()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for counted.Count() == before {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	hangUp("{", rejected)
+	hangUp(fmt.Sprintf(config, listen, "nowhere"), rejected)
+	if got := answer(empty); !strings.Contains(got, "C57P03") {
+		t.Errorf("after a configuration that can't be used: %q", got)
+	}
+	hangUp(fmt.Sprintf(config, listen, strings.TrimPrefix(discovery.URL, "http://")), reloads)
 	close(speak)
 	for answer(empty)[0] != 'I' {
 	}
--- a/internal/nodelist/nodelist_test.go
+++ b/internal/nodelist/nodelist_test.go
@@ -57,3 +57,45 @@
 		}
 	}
 }
+
+// TestFollowMoves guards against a watch that stays with a discovery that was replaced, or that drops what the
+// new one says because it counts its versions anew.
+func TestFollowMoves(t *testing.T) {
+	left, asked := make(chan bool, 9), make(chan string, 9)
+	at := func(index int) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.RawQuery
+			fmt.Fprintf(w, "{\"index\":%d,\"snapshot\":true,\"endpoints\":[]}\n", index)
+			if r.URL.RawQuery != "" {
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+				left <- true
+			}
+		}))
+		t.Cleanup(srv.Close)
+		return strings.TrimPrefix(srv.URL, "http://")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	moves, got, over := make(chan string), make(chan int64, 9), make(chan bool)
+	go func() {
+		Follow(ctx, at(50), 41, moves, func(l *List) { got <- l.Index })
+		close(over)
+	}()
+	if i := <-got; i != 50 {
+		t.Errorf("version %d", i)
+	}
+	moves <- at(3)
+	<-left
+	for range 2 { // whole, then followed
+		if i := <-got; i != 3 {
+			t.Errorf("version %d after the move", i)
+		}
+	}
+	for _, want := range []string{"follow=1&since=41", "", "follow=1&since=3"} {
+		if q := <-asked; q != want {
+			t.Errorf("asked %q, want %q", q, want)
+		}
+	}
+	cancel()
+	<-over
+}
--- a/internal/nodelist/watch.go
+++ b/internal/nodelist/watch.go
@@ -29,6 +29,29 @@
 	broken  = counters.New("lists refused")
 )
 
+// unknown is no version: the whole list is asked for. Another discovery may count its versions anew.
+const unknown = -1
+
+// Follow watches discovery at an address, and from a move on at another, until the context ends. A watch that
+// was left is over before the next begins, so its lists never come after newer ones.
+func Follow(ctx context.Context, address string, index int64, moves <-chan string, on func(*List)) {
+	for ctx.Err() == nil {
+		life, end := context.WithCancel(ctx)
+		over := make(chan struct{})
+		go func() {
+			Watch(life, address, index, on)
+			close(over)
+		}()
+		select {
+		case address = <-moves:
+			index = unknown
+		case <-ctx.Done():
+		}
+		end()
+		<-over
+	}
+}
+
 // Watch keeps asking discovery at an address for what comes after a version and hands each list on, until
 // the context ends.
 func Watch(ctx context.Context, address string, index int64, on func(*List)) {
@@ -38,11 +61,19 @@
 	for ctx.Err() == nil {
 		watches.Add()
 		began := time.Now()
-		err := follow(ctx, client, address, &index, on)
+		var err error
+		if index == unknown {
+			err = ask(ctx, client, address, "", &index, on)
+		} else {
+			err = ask(ctx, client, address, fmt.Sprintf("?follow=1&since=%d", index), &index, on)
+		}
 		slog.Debug("watch ended", "err", err, "index", index)
 		if time.Since(began) > lifeWait { // it lived
 			back = backFirst
 		}
+		if errors.Is(err, errWhole) {
+			continue
+		}
 		select {
 		case <-time.After(back):
 		case <-ctx.Done():
@@ -51,15 +82,18 @@
 	}
 }
 
-func follow(ctx context.Context, client *http.Client, address string, index *int64, on func(*List)) error {
+// errWhole tells that the whole list has come, and can be followed.
+var errWhole = errors.New("the whole list came")
+
+// ask hands on the lists in one answer of discovery's.
+func ask(ctx context.Context, client *http.Client, address, query string, index *int64, on func(*List)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/api/targets?follow=1&since=%d", address, *index)
-	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/api/targets"+query, nil)
 	if err != nil {
 		return err
 	}
-	answer, err := client.Do(ask)
+	answer, err := client.Do(request)
 	if err != nil {
 		return err
 	}
@@ -86,8 +120,15 @@
 			broken.Add()
 			continue
 		}
+		if ctx.Err() != nil { // it was left meanwhile
+			return ctx.Err()
+		}
+		first := *index == unknown
 		*index = l.Index
 		on(l)
+		if first {
+			return errWhole
+		}
 	}
 	return cmp.Or(lines.Err(), io.EOF)
 }
