End connections of no use in time, and let them make room at the limit

Ruled out: CPU (0.17 of 0.25 core at the most), memory (21 of 64 MB), nodes (idle). Also at fault: bytes() fed the splitter before it looked whether the connection was closed, so what followed an error was kept for its linger; mostHeld was 32 MiB under any memory limit, and begun messages and unread answers had no bound. Now: 2.2 s for a first command or a begun message; at the limit the ended, then the never useful, then the longest idle connection goes; bytes in hand go by parts of the memory limit; kernel buffers are bounded, since the library reads all at once.

--- a/cmd/cairntiller/main.go
+++ b/cmd/cairntiller/main.go
@@ -133,9 +133,11 @@
 	if t.Limits.Cores > 0 { // and one for the poller, which sits in the kernel most of the time
 		runtime.GOMAXPROCS(int(math.Ceil(t.Limits.Cores)) + 1)
 	}
-	if t.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(t.Limits.MemoryMB * memoryShare * (1 << 20)))
+	if t.Limits.MemoryMB <= 0 {
+		t.Limits.MemoryMB = 192
 	}
+	memory := int64(t.Limits.MemoryMB * (1 << 20))
+	debug.SetMemoryLimit(int64(float64(memory) * memoryShare))
 	sockets := t.Limits.Sockets
 	if sockets <= 0 {
 		sockets = 1024
@@ -156,7 +158,7 @@
 	}
 	pool := nodes.New(now, e.Post, e.After, e, connect, idle, sockets-spareSockets-forClients)
 	e.Join(r, pool)
-	front := clients.New(now, e, names.Groups, names.Tenants, forClients)
+	front := clients.New(now, e, names.Groups, names.Tenants, forClients, memory)
 
 	ln, err := net.Listen("tcp", t.Listen)
 	if err != nil {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,6 +3,7 @@
 package clients
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -20,30 +21,39 @@
 )
 
 const (
-	mostQuery   = 160_000 // bytes in one message: a value of 64 KiB in hex, and a statement
-	mostStartup = 10_000  // bytes in an opening message, as PostgreSQL has it
-	mostPiped   = 64      // commands in hand on one connection; our clients send the next after the answer
-	mostHeld    = 1 << 25 // bytes of commands in hand on all connections: a sixth of the least memory we are given
+	mostQuery   = 160_000   // bytes in one message: a value of 64 KiB in hex, and a statement
+	mostStartup = 10_000    // bytes in an opening message, as PostgreSQL has it
+	mostPiped   = 8         // commands in hand on one connection; our clients send the next after the answer
+	heldPart    = 8         // part of the memory limit, one in so many, for commands and answers in hand
+	begunPart   = 16        // the same for messages that have begun
+	proveWait   = 2_200_000 // us for a connection's first command, and for a begun message to come whole: a
+	// connection without a command may be closed after 2 s, and one that is of no use is owed an end within 3 s
+	sweepEvery = 200 * time.Millisecond // between looks for those: a tenth of the wait
 )
 
 var (
 	accepted  = counters.New("client connections")
+	evicted   = counters.New("client connections evicted")
 	turned    = counters.New("client connections over limit")
+	silent    = counters.New("client connections of no use")
 	malformed = counters.New("client streams malformed")
 	unread    = counters.New("queries refused")
 	empties   = counters.New("empty queries")
-	crossed   = counters.New("bytes after our end")
+	crossed   = counters.New("reads after our end")
 )
 
 // Front takes clients' connections.
 type Front struct {
-	now     func() int64
-	taker   exchange.Taker
-	groups  map[string]int
-	tenants map[string]int
-	most    int // connections at once
-	ready   atomic.Bool
-	held    atomic.Int64 // bytes of commands in hand
+	now       func() int64
+	taker     exchange.Taker
+	groups    map[string]int
+	tenants   map[string]int
+	most      int   // connections at once
+	mostHeld  int64 // bytes of commands and answers in hand on all of them
+	mostBegun int64 // bytes of begun messages on all of them
+	ready     atomic.Bool
+	held      atomic.Int64
+	begun     atomic.Int64
 
 	ending atomic.Bool
 
@@ -52,9 +62,11 @@
 	next  uint32
 }
 
-// New makes a front that knows command groups and tenants by name.
-func New(now func() int64, taker exchange.Taker, groups, tenants map[string]int, most int) *Front {
-	return &Front{now: now, taker: taker, groups: groups, tenants: tenants, most: most, conns: map[*conn]bool{}}
+// New makes a front that knows command groups and tenants by name; it holds so many connections at most, and
+// a part of so many bytes of memory.
+func New(now func() int64, taker exchange.Taker, groups, tenants map[string]int, most int, memory int64) *Front {
+	return &Front{now: now, taker: taker, groups: groups, tenants: tenants, most: most, mostHeld: memory / heldPart,
+		mostBegun: memory / begunPart, conns: map[*conn]bool{}}
 }
 
 // Open tells that commands can be taken from now on.
@@ -70,67 +82,110 @@
 	if err != nil {
 		return err
 	}
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	go func() {
+		for range sweep.C {
+			f.sweep()
+		}
+	}()
 	return loop.Serve(ln)
 }
 
+// admit takes a connection. At the limit another makes room: one that has ended already, else one that never
+// sent a command, else one without a command in hand, each time the one that has been so for longest. None with
+// a command is ended. Guards against those who connect and ask nothing, and those who asked once and stay.
 func (f *Front) admit(nc netpoll.Connection) {
 	accepted.Add()
 	c := &conn{front: f, split: pgwire.NewSplitter(mostStartup, true), stream: stream.New(nc)}
+	c.turn(fresh)
+	var out *conn
 	f.mu.Lock()
 	f.next++
 	c.number = f.next
-	f.conns[c] = true
-	c.over = len(f.conns) > f.most
-	if c.over { // one that has nothing to do can be opened again; none with a command is ended
-		for other := range f.conns {
-			if other != c && other.calm.Load() {
-				defer other.endBetween()
-				c.over = false
-				break
+	if len(f.conns) >= f.most {
+		for one := range f.conns {
+			if one.phase.Load() < busy && (out == nil || one.before(out)) {
+				out = one
 			}
 		}
 	}
+	over := len(f.conns) >= f.most && out == nil
+	f.conns[c] = true
 	f.mu.Unlock()
+	if out != nil {
+		evicted.Add()
+		out.evict()
+	}
 	c.stream.Start(stream.Events{Bytes: c.bytes, Ended: c.ended})
+	if over {
+		turned.Add()
+		c.refuse(true, pgwire.CodeThrottled, "too many connections")
+	}
 }
 
-// End closes connections as soon as nothing is owed on them; what still comes on others is taken.
-func (f *Front) End() {
-	f.ending.Store(true)
+// all lists the connections.
+func (f *Front) all() []*conn {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	all := make([]*conn, 0, len(f.conns))
 	for c := range f.conns {
 		all = append(all, c)
 	}
-	f.mu.Unlock()
-	for _, c := range all {
+	return all
+}
+
+// sweep ends connections of no use: without a command from the start, or with a message that does not get whole.
+func (f *Front) sweep() {
+	now := f.now()
+	for _, c := range f.all() {
+		late := c.phase.Load() == fresh && now-c.since.Load() > proveWait
+		if at := c.begunAt.Load(); late || at > 0 && now-at > proveWait && c.phase.Load() != gone {
+			silent.Add()
+			c.begunAt.Store(0)
+			c.refuse(true, pgwire.CodeIdle, "nothing whole came in time")
+		}
+	}
+}
+
+// End closes connections as soon as nothing is owed on them; what still comes on others is taken.
+func (f *Front) End() {
+	f.ending.Store(true)
+	for _, c := range f.all() {
 		c.endBetween()
 	}
 }
 
 // Wait returns once all connections have ended, or after a time.
 func (f *Front) Wait(most time.Duration) {
-	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		f.mu.Lock()
-		n := len(f.conns)
-		f.mu.Unlock()
-		if n == 0 {
-			return
-		}
+	for end := time.Now().Add(most); time.Now().Before(end) && len(f.all()) > 0; {
+		time.Sleep(5 * time.Millisecond)
 	}
 }
 
+// phase is how far a connection has come; those before busy may be ended for others, the first ones first.
+type phase = int32
+
+const (
+	gone  phase = iota // our side has ended or is about to
+	fresh              // no command has come yet
+	calm               // it has had commands, and none is in hand
+	busy
+)
+
 // conn is one client's connection.
 type conn struct {
-	front  *Front
-	stream *stream.Stream
-	number uint32
-	over   bool        // beyond the limit: it is turned away as soon as it asks
-	calm   atomic.Bool // it is up, and no answer is owed on it
+	front   *Front
+	stream  *stream.Stream
+	number  uint32
+	phase   atomic.Int32
+	since   atomic.Int64 // when it came to that
+	begunAt atomic.Int64 // when a message began that is not whole yet, 0 for none
 
 	split   *pgwire.Splitter // reader's goroutine
 	started bool
-	asked   bool // it has asked for encryption
+	asked   bool  // it has asked for encryption
+	begun   int64 // bytes of a message that is not whole yet
 
 	mu     sync.Mutex
 	slots  []*slot // answers owed, in the order of their commands
@@ -144,27 +199,57 @@
 	fatal bool
 }
 
+// turn notes that the connection comes to a phase.
+func (c *conn) turn(p phase) {
+	c.since.Store(c.front.now())
+	c.phase.Store(p)
+}
+
+// before tells whether a connection is ended sooner than another to make room.
+func (c *conn) before(o *conn) bool {
+	return cmp.Or(cmp.Compare(c.phase.Load(), o.phase.Load()), cmp.Compare(c.since.Load(), o.since.Load())) < 0
+}
+
+// evict ends the connection for another, unless a command has come meanwhile.
+func (c *conn) evict() {
+	switch c.phase.Load() {
+	case gone:
+		c.stream.Close()
+	case fresh:
+		c.refuse(true, pgwire.CodeThrottled, "too many connections")
+	case calm:
+		c.endBetween()
+	}
+}
+
 // bytes takes what arrives.
 func (c *conn) bytes(p []byte) {
 	at := c.front.now()
-	c.split.Feed(p)
-	for {
+	for fed := false; ; {
 		c.mu.Lock()
 		closed := c.closed
 		c.mu.Unlock()
-		if closed {
+		if closed { // read on, so that what was written arrives, but kept no more
 			crossed.Add()
+			c.split = nil
+			c.hold(at, 0)
 			return
 		}
+		if !fed {
+			c.split.Feed(p)
+			fed = true
+		}
 		f, whole, err := c.split.Next()
 		if err != nil {
 			malformed.Add()
 			c.refuse(true, pgwire.CodeProtocol, err.Error())
-			return
+			continue
 		}
 		if !whole {
+			c.hold(at, int64(c.split.Left()))
 			return
 		}
+		c.begunAt.Store(0)
 		if c.started {
 			c.message(at, f)
 		} else {
@@ -173,6 +258,21 @@
 	}
 }
 
+// hold notes how much has come of a message that is not whole. Where all such together are too much, whoever
+// holds more than an even part of it goes.
+func (c *conn) hold(at, left int64) {
+	f := c.front
+	all := f.begun.Add(left - c.begun)
+	c.begun = left
+	if left == 0 {
+		c.begunAt.Store(0)
+	} else if c.begunAt.CompareAndSwap(0, at); all > f.mostBegun && left > f.mostBegun/int64(f.most) {
+		turned.Add()
+		c.refuse(true, pgwire.CodeThrottled, "too much in hand")
+		c.hold(at, 0)
+	}
+}
+
 // open takes the messages before a connection is up.
 func (c *conn) open(f pgwire.Frame) {
 	switch opening := pgwire.DecodeOpening(f); {
@@ -182,11 +282,6 @@
 	case opening == pgwire.OpenCancel:
 		c.local(nil, true)
 	case opening == pgwire.OpenStartup || opening == pgwire.OpenStartupNewer:
-		if c.over {
-			turned.Add()
-			c.refuse(true, pgwire.CodeThrottled, "too many connections")
-			return
-		}
 		c.started = true
 		c.split.Typed(mostQuery)
 		c.local(pgwire.AppendWelcome(nil, opening == pgwire.OpenStartupNewer, c.number), false)
@@ -208,9 +303,7 @@
 		}
 		c.query(at, statement)
 	case 'X':
-		c.mu.Lock()
-		c.closed = true
-		c.mu.Unlock()
+		c.shut()
 		c.stream.Close()
 	case 'P', 'B', 'E', 'D', 'C', 'F', 'd', 'c', 'f':
 		unread.Add()
@@ -259,9 +352,9 @@
 	}
 	x := exchange.New(cmd, c, group, tenant, at)
 	c.mu.Lock()
-	room := len(c.slots) < mostPiped && c.front.held.Load() < mostHeld
+	room := len(c.slots) < mostPiped && c.front.held.Load() < c.front.mostHeld
 	if room {
-		c.calm.Store(false)
+		c.turn(busy)
 		c.front.held.Add(int64(cmd.Size()))
 		c.slots = append(c.slots, &slot{x: x})
 	}
@@ -282,13 +375,26 @@
 func (c *conn) local(p []byte, fatal bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
 	if fatal {
 		c.closed = true
+		if len(c.slots) == 0 {
+			c.turn(gone)
+		}
 	}
 	c.slots = append(c.slots, &slot{bytes: p, fatal: fatal})
 	c.flush()
 }
 
+// shut notes that nothing more is taken.
+func (c *conn) shut() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+}
+
 // flush writes the answers that are next in turn. While the router leaves, a command's answer is the last: a
 // connection that has just come up may bring its command with its startup. Called under the lock.
 func (c *conn) flush() {
@@ -298,14 +404,19 @@
 		c.slots = c.slots[1:]
 		last = last || s.x != nil
 		if s.bytes != nil {
-			c.stream.Write(s.bytes, nil)
+			n := int64(len(s.bytes))
+			c.front.held.Add(n)
+			c.stream.Write(s.bytes, func(error) { c.front.held.Add(-n) })
 		}
 		if s.fatal {
+			c.turn(gone)
 			c.stream.End()
 			return
 		}
 	}
-	c.calm.Store(len(c.slots) == 0 && c.started && !c.closed)
+	if len(c.slots) == 0 && c.phase.Load() == busy {
+		c.turn(calm)
+	}
 	if last && c.front.ending.Load() {
 		c.endIfDone()
 	}
@@ -322,7 +433,7 @@
 func (c *conn) endIfDone() {
 	if len(c.slots) == 0 && !c.closed {
 		c.closed = true
-		c.calm.Store(false)
+		c.turn(gone)
 		c.stream.End()
 	}
 }
@@ -364,6 +475,7 @@
 	c.front.mu.Lock()
 	delete(c.front.conns, c)
 	c.front.mu.Unlock()
+	c.hold(at, 0)
 	for _, s := range owed {
 		if s.x != nil {
 			if s.bytes == nil {
--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -42,6 +42,9 @@
 // Typed tells that from now on messages have a type byte, and bodies up to most bytes.
 func (s *Splitter) Typed(most int) { s.untyped, s.most = false, most }
 
+// Left is how many bytes have arrived of messages not taken yet.
+func (s *Splitter) Left() int { return len(s.buf) - s.from }
+
 // Next takes the next whole message; whole is false until more has arrived.
 func (s *Splitter) Next() (f Frame, whole bool, err error) {
 	b, head := s.buf[s.from:], 5
--- a/internal/pgwire/frontend.go
+++ b/internal/pgwire/frontend.go
@@ -9,6 +9,7 @@
 const (
 	CodeThrottled   = "53300" // too_many_connections: nothing ran, come again
 	CodeNotReady    = "57P03" // cannot_connect_now
+	CodeIdle        = "57P05" // idle_session_timeout
 	CodeFailed      = "58000" // system_error
 	CodeProtocol    = "08P01" // protocol_violation
 	CodeValue       = "22023" // invalid_parameter_value
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -18,9 +18,16 @@
 const (
 	writeWait  = 5 * time.Second // for a peer that reads nothing; its connection ends then, and nothing else waits
 	lingerWait = time.Second     // for a peer to end its side after ours, so that it reads all we wrote
+	mostQueued = 1 << 20         // bytes that wait for such a peer: 16 answers with values of 64 KiB
+	readRoom   = 1 << 16         // bytes that the kernel keeps unread, doubled by it: the library reads all of
+	// them at once, into room that grows with what a peer sends at full speed
+	endedRoom = 1 << 12 // the same once our side has ended, for what is only thrown away
 )
 
-var stuck = counters.New("writes given up")
+var (
+	stuck   = counters.New("writes given up")
+	flooded = counters.New("peers that read too little")
+)
 
 // ErrUnwritten tells that the peer's machine was handed nothing of what was to be written.
 var ErrUnwritten = errors.New("nothing was written")
@@ -36,6 +43,7 @@
 	conn    netpoll.Connection
 	mu      sync.Mutex
 	out     []piece
+	queued  int // bytes in out and in what is being written
 	writing bool
 	ending  bool // nothing more is taken; our side ends once all is out
 	closed  bool // the connection's descriptor may be another's by now
@@ -59,7 +67,9 @@
 // New takes a connection over; nothing is read before Start.
 func New(conn netpoll.Connection) *Stream {
 	conn.SetWriteTimeout(writeWait)
-	return &Stream{conn: conn}
+	s := &Stream{conn: conn}
+	s.room(readRoom)
+	return s
 }
 
 // Start begins to read; events may come before it returns.
@@ -98,12 +108,18 @@
 		return
 	}
 	s.out = append(s.out, piece{p, done})
-	start := !s.writing
+	s.queued += len(p)
+	start, flood := !s.writing, s.queued > max(mostQueued, len(p))
 	s.writing = true
+	s.ending = s.ending || flood
 	s.mu.Unlock()
 	if start {
 		go s.drain()
 	}
+	if flood {
+		flooded.Add()
+		go s.Close() // it calls the owner, who may be waiting for this to return
+	}
 }
 
 // drain writes what is queued; the library's flush blocks while the peer reads nothing, so it has its own goroutine.
@@ -131,6 +147,9 @@
 					s.Close()
 				}
 			}
+			s.mu.Lock()
+			s.queued -= len(one.bytes)
+			s.mu.Unlock()
 			if one.done != nil {
 				one.done(err)
 			}
@@ -149,10 +168,17 @@
 	return err
 }
 
+func (s *Stream) room(bytes int) {
+	if fd, ok := s.conn.(interface{ Fd() int }); ok {
+		syscall.SetsockoptInt(fd.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	}
+}
+
 // finish ends our side; the peer then ends its own, or is cut. Called under the lock.
 func (s *Stream) finish() {
 	if !s.closed {
 		s.half()
+		s.room(endedRoom)
 		time.AfterFunc(lingerWait, s.Close)
 	}
 }
