--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -635,7 +635,7 @@
 		s.rate[at] = s.rateAt(at, now, rateSpan) + g.usual[c.group]*1e6/rateSpan
 		if rest := r.rest(at, c.group); !late && rest > 0 { // the longer the rest, the more an answer in time says
 			s.limit[at] *= 1 + limitGrow + rest/restSpan
-		} else if !late && float64(s.out[at])+1 > limitUsed*s.limit[at] {
+		} else if !late && float64(s.out[at])+1 > min(limitUsed*s.limit[at], s.limit[at]-1) { // or no other fits
 			s.limit[at] += limitGrow
 		}
 	case Missed: // untouched: a node that leads misses nothing
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -457,3 +457,22 @@
 		t.Fatal("an idle fleet refused a read")
 	}
 }
+
+// TestALimitUnderTwoGrows guards against limits that only whole commands can fill: at 1.5 one is in flight, which
+// is all that fits, and answers in time must let in a second.
+func TestALimitUnderTwoGrows(t *testing.T) {
+	w := group(t, 1, 1)
+	w.seen("g0n0", 0, Primary, 0)
+	w.r.node.limit[0] = 1.5
+	for i := range 20 {
+		w.arrive(fmt.Sprint("c", i), gMutating, 0, 4e6, 0)
+	}
+	for range 8 {
+		if len(w.open) > 1 {
+			return
+		}
+		w.step(1_000)
+		w.answer(0, Answered, Primary, 0)
+	}
+	t.Errorf("%d in flight at a limit of %.1f", len(w.open), w.r.node.limit[0])
+}
