--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -645,7 +645,7 @@
 	case Full: // a full line or a drain not yet listed: asking again at once only costs
 		s.limit[at], s.restTill[at] = used*fullCut, now+fullRest
 	case Unconnected: // dead, cut off, or out of places: a probe tells which
-		s.refused[at] = cmp.Or(s.refused[at], now)
+		s.again[at], s.refused[at] = s.refused[at] > 0, cmp.Or(s.refused[at], now)
 		s.restTill[at] = now + fullRest/2 + int64(r.chance(fullRest)) + (now-s.refused[at])/2
 		r.probe(at, now, 1)
 	}
@@ -716,7 +716,7 @@
 	switch refused := s.refused[n] > 0; {
 	case o != Answered: // dead or cut off: that it is there again later does not mean that it was out of places
 		s.suspect[n], s.refused[n] = s.suspect[n] || refused, 0
-	case refused: // it lives and yet took no connection
+	case refused && s.again[n]: // it lives and yet took no connection; one alone may be reset by chance
 		for m := 0; now >= r.scarceTill && m < len(s.id); m++ {
 			r.act.Release(s.id[m])
 		}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -89,6 +89,7 @@
 	errs     []float64
 	answered []int64 // last sign of work done
 	refused  []int64 // first connection that it did not take since it last answered, 0 for none
+	again    []bool  // it was not the only one
 	suspect  []bool
 	restTill []int64 // gets nothing before
 	probedAt []int64
@@ -123,6 +124,7 @@
 	s.errs = append(s.errs, 0)
 	s.answered = append(s.answered, 0)
 	s.refused = append(s.refused, 0)
+	s.again = append(s.again, false)
 	s.suspect = append(s.suspect, false)
 	s.restTill = append(s.restTill, 0)
 	s.probedAt = append(s.probedAt, 0)
