Open a primary's limit to reads up to one place kept for a write

Seen on churn while five of a group's replicas lag by 7 s and more: the primary at a limit of 3.6 with nothing in flight in two of three looks, 1.1 of its 3 cores used by this router, nothing waiting for long and a fifth of the commands refused. Bounded reads could go nowhere else, and pick() opened half of the limit to them: one place of 3.6.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -56,7 +56,7 @@
 	lagSlack      = 1000.0  // the same for a replica out of rotation: always over one in it
 	equalSlack    = 1.15    // expected responses within 15% count as equal
 	shareBurst    = 3.0     // commands that a tenant may save up: its part at one router may be a fraction
-	spareShare    = 0.5     // of a node's limit is open to commands worth little, of a primary's to reads
+	spareShare    = 0.5     // of a node's limit is open to commands worth little
 	coldPart      = 0.45    // of the multiple that pushes a cold node over: chance and work sizes take the rest
 	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
@@ -507,7 +507,7 @@
 }
 
 // pick chooses a read's member: a proven replica in rotation, own zone first, rotating among equals. Else,
-// where none has room or can be proven in its time, the primary takes it, as far as its writes leave room.
+// where none has room or can be proven in its time, the primary takes it, with room for one write left.
 func (r *Router) pick(c *cmd, now int64) verdict {
 	if lv := r.group.level[c.group]; lv == Write || lv == Fresh {
 		return pass
@@ -547,7 +547,7 @@
 		return keep
 	}
 	if best < 0 && p >= 0 && r.serves(p, now) && r.fresh(p, c, now) && !c.at(p) &&
-		r.roomy(p, spareShare, c.group, now) && (proven || now >= c.holdUntil-2*sweepEvery || r.pointless(c)) {
+		r.roomy(p, 1-1/s.limit[p], c.group, now) && (proven || now >= c.holdUntil-2*sweepEvery || r.pointless(c)) {
 		best = p
 	}
 	if c.to = best; best >= 0 {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -271,6 +271,26 @@
 	}
 }
 
+// TestReadsLeaveAPrimaryRoomForAWrite guards against a primary kept half idle while its replicas lag: reads may
+// have all of its limit but one place, which a write still finds.
+func TestReadsLeaveAPrimaryRoomForAWrite(t *testing.T) {
+	w := group(t, 1, 2)
+	for i, role := range []Role{Primary, Replica} {
+		w.seen(fmt.Sprint("g0n", i), 0, role, w.now-9_000_000)
+	}
+	w.r.node.limit[0] = 4
+	for i := range 9 {
+		w.arrive(fmt.Sprint("c", i), gBounded, 0, 1e6, 0)
+	}
+	if reads := len(w.open); reads != 3 {
+		t.Errorf("%d reads at a primary's limit of 4", reads)
+	}
+	w.arrive("w", gMutating, 0, 4e6, 0)
+	if last := w.open[len(w.open)-1]; last.cmd != "w" {
+		t.Error("no room for a write")
+	}
+}
+
 // A swallowed dispatch, while others are answered, holds no room and is sent again where that is allowed.
 func TestSwallowedDispatchIsSentAgain(t *testing.T) {
 	w := group(t, 1, 2)
