Forget nodes that left the list, in the module and in the pool

Seen on churn: after a minute 31 nodes in the module's arrays and in its group's members for 10 that lived; ask() went through all of them at one each 50 ms, so a group without a known primary was asked mostly at nodes that were gone. The pool's table kept every name as well. All of it grew for as long as new names came. Now a node that is gone for 3 s with nothing out on it is forgotten and its index used again; ask() goes through listed members alone.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -380,6 +380,9 @@
 // Release implements route.Actions.
 func (e *Engine) Release(node string) { e.nodes.Release(node) }
 
+// Forget implements route.Actions.
+func (e *Engine) Forget(node string) { e.nodes.Forget(node) }
+
 // Follow implements route.Actions; on sockets the list is always followed.
 func (e *Engine) Follow() {}
 
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -319,6 +319,13 @@
 	for _, s := range []*scripted{a, a, b} { // two of the first, one of the second
 		<-s.ended
 	}
+	e.mu.Lock()
+	p.Forget("n1")
+	e.mu.Unlock()
+	e.send(p, "n1", 0)
+	if got := <-e.results; got.o != route.Unconnected || len(b.opened()) != 1 {
+		t.Errorf("a node that was forgotten: %d, %d connections", got.o, len(b.opened()))
+	}
 }
 
 func TestProbe(t *testing.T) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -43,6 +43,8 @@
 	Probe(node string)
 	// Release closes the idle connections to a node.
 	Release(node string)
+	// Forget does so for good.
+	Forget(node string)
 }
 
 // Ender learns how dispatches and probes ended, on the engine's goroutine.
--- a/internal/nodes/pool.go
+++ b/internal/nodes/pool.go
@@ -110,6 +110,12 @@
 	}
 }
 
+// Forget implements exchange.Nodes; what is under way ends by itself.
+func (p *Pool) Forget(name string) {
+	p.Release(name)
+	delete(p.nodes, name)
+}
+
 // Send implements exchange.Nodes.
 func (p *Pool) Send(d *exchange.Dispatch) { p.begin(&job{d: d, began: d.Sent}, d.Node) }
 
--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -293,6 +293,15 @@
 // Release implements Actions.
 func (w *world) Release(node string) { w.dropped = append(w.dropped, node) }
 
+// Forget implements Actions.
+func (w *world) Forget(node string) {
+	for _, f := range w.open {
+		if f.node == node {
+			w.t.Fatalf("%s forgotten with %s out", node, f.cmd)
+		}
+	}
+}
+
 // Tell implements Actions.
 func (w *world) Tell(int, []byte) {}
 
--- a/internal/route/iface.go
+++ b/internal/route/iface.go
@@ -17,6 +17,8 @@
 	Probe(node string)
 	// Release closes the idle connections to a node.
 	Release(node string)
+	// Forget tells that a node is gone and will not be named again, unless the list names it anew.
+	Forget(node string)
 	// Follow asks for the node list and its changes from now on.
 	Follow()
 	// Tell sends a short note to one peer, or to all where peer is negative.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,9 +2,8 @@
 //
 // A protocol makes an instance with New, hands each part its values (state.go), calls Start, and
 // then calls one method here for each thing that happens: ListBegins/ListNode/ListEnds, Arrive,
-// Seen, Reported..., Result, Probed, Gone, Timer, Note. The module acts through Actions (iface.go)
-// and knows nothing else. A command passes the stages of Router.chain downwards; what comes back
-// passes them upwards. DESIGN rules the ordinary path; each exception states its condition.
+// Seen, Reported..., Result, Probed, Gone, Timer. It acts through Actions (iface.go) alone. A command passes
+// Router.chain downwards, what comes back upwards. DESIGN rules; each exception states its condition.
 package route
 
 import (
@@ -62,6 +61,7 @@
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
 	rateSpan      = 2e6     // us over which a node's answered work is averaged
 	listDoubt     = 5e6     // us for which an answer's role outweighs a late list
+	goneKept      = 3e6     // us for which a node that left the list is remembered: a list may err
 	followGap     = 1e6     // us before a list that failed is asked for again: it may be overloaded
 	tokenMost     = 50_000  // sessions remembered in each of two generations
 	deadlineGuard = 40_000  // us before the client timeout at which a held command is answered: two beats
@@ -89,8 +89,7 @@
 	r.listNo++
 }
 
-func (r *Router) ListNode(now int64, id, zone, kind string, wire int, state State, lead bool,
-	started int64) {
+func (r *Router) ListNode(now int64, id, zone, kind string, wire int, state State, lead bool, started int64) {
 	s := &r.node
 	n, known := s.index[id]
 	if !known {
@@ -106,8 +105,10 @@
 			r.told(n, Replica, now) // a process that started anew leads nothing it led before
 		}
 	}
-	if state == Removed && s.state[n] == Draining {
-		state = Draining // what drained stays bound when it is gone
+	if s.goneAt[n] = 0; state == Removed {
+		if s.goneAt[n] = now; s.state[n] == Draining {
+			state = Draining // what drained stays bound when it is gone
+		}
 	}
 	fresh := lead && !(known && s.lead[n])
 	s.zone[n], s.kind[n], s.state[n], s.listed[n], s.lead[n] = zone, kind, state, r.listNo, lead
@@ -118,8 +119,10 @@
 
 func (r *Router) ListEnds(now int64) {
 	for n := range r.node.id {
-		if r.full && r.node.listed[n] != r.listNo && r.node.state[n] != Draining {
-			r.node.state[n] = Removed
+		if r.full && r.node.listed[n] != r.listNo {
+			if r.node.goneAt[n] = cmp.Or(r.node.goneAt[n], now); r.node.state[n] != Draining {
+				r.node.state[n] = Removed
+			}
 		}
 	}
 	for sh := range r.shard.members {
@@ -334,9 +337,8 @@
 }
 
 // admit sets, once, the position that a session read needs, and a command's value: what lies over its
-// tenant's share waits behind the rest. Guards against floods; harms a tenant spread unevenly. It then lets
-// in the share of reads that the group's gate allows and throttles the rest, whose clients may find room at
-// another router. Guards against overload that a router among many cannot see at any one node.
+// tenant's share waits behind the rest. Guards against floods; harms a tenant spread unevenly. It lets in
+// what the group's gate allows of reads: against overload that one of many routers cannot see at any node.
 func (r *Router) admit(c *cmd, now int64) verdict {
 	if c.admitted {
 		return pass
@@ -444,10 +446,9 @@
 	return pass
 }
 
-// ask takes the next turn at asking a group's members for the primary: by probe where probes tell roles,
-// else it names the member to ask.
+// ask takes the next turn at asking a group's members for the primary: it probes, or names the one to ask.
 func (r *Router) ask(sh int, now int64) int {
-	m := r.shard.members[sh]
+	m := slices.DeleteFunc(slices.Clone(r.shard.members[sh]), func(n int) bool { return !r.listed(n) })
 	if len(m) == 0 || now-r.shard.askedAt[sh] < askGap {
 		return -1
 	}
@@ -666,9 +667,7 @@
 func (r *Router) least() float64 { return min(0.5, leastLimit/float64(r.siblings)) }
 
 // rest is the time that a node with a limit under one is left alone after each answer.
-func (r *Router) rest(n, g int) float64 {
-	return max(0, r.group.usual[g]*(1/r.node.limit[n]-1))
-}
+func (r *Router) rest(n, g int) float64 { return max(0, r.group.usual[g]*(1/r.node.limit[n]-1)) }
 
 // used is what a bad answer must tell on: a limit, or what is used of it where the node is seldom used.
 func (r *Router) used(n, g int, now int64) (of float64, seldom bool) {
@@ -739,6 +738,9 @@
 	s := &r.node
 	for i := range s.id {
 		n := (i + r.beat) % len(s.id)
+		if at := s.goneAt[n]; at > 0 && now-at > goneKept && len(s.open[n]) == 0 && !s.probing[n] && !r.listed(n) {
+			r.forget(n) // else all that is kept by node grows with each new name
+		}
 		r.listen(n, now)
 		s.errs[n] -= s.errs[n] * sweepEvery / fadeSpan // what is known of a node fades with its age
 		s.slow[n] -= (s.slow[n] - 1) * sweepEvery / fadeSpan
@@ -807,6 +809,3 @@
 		}
 	}
 }
-
-// Note is a peer's note; none is sent yet.
-func (r *Router) Note(_ int64, _ int, _ []byte) {}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -500,3 +500,45 @@
 	}
 	t.Errorf("%d in flight at a limit of %.1f", len(w.open), w.r.node.limit[0])
 }
+
+// TestNewNamesAllDay guards against figures, members and asks that grow with each node that ever was: a group
+// whose nodes are replaced all day keeps what the present ones need, and finds a primary among them at once.
+func TestNewNamesAllDay(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 300 {
+		w.r.ListBegins(w.now, i%2 == 0)
+		for j := max(0, i-3); j <= i; j++ {
+			state := Up
+			if j == i-2 {
+				state = Draining
+			} else if j == i-3 {
+				state = Removed
+			}
+			if i%2 > 0 || state != Removed {
+				w.r.ListNode(w.now, fmt.Sprint("n", j), "here", "kind", 0, state, false, 0)
+			}
+		}
+		w.r.ListEnds(w.now)
+		for range 100 {
+			w.step(20_000)
+		}
+	}
+	if n, m := len(w.r.node.id), len(w.r.shard.members[0]); n > 8 || m > 8 {
+		t.Errorf("%d indexes and %d members for three nodes", n, m)
+	}
+	w.shard["n299"] = 0
+	w.probes = nil
+	w.arrive("a", gMutating, 0, 4e6, 0)
+	for range 2 { // one ask for each present node
+		w.beats(3)
+		for _, n := range w.probes {
+			w.tell(n, RoleUnknown, 0)
+			w.r.ReportedRole(w.now, n, n == "n299")
+			w.r.Probed(w.now, n, 1_000, Answered)
+		}
+		w.probes = nil
+	}
+	if sentTo(w) != "n299" {
+		t.Error("no primary found among the present nodes but", sentTo(w))
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -99,44 +99,73 @@
 	warmRate []float64 // the same as it mostly was while the node was warm
 	credit   []float64 // work a cold node may still be sent
 	creditAt []int64
+	goneAt   []int64 // when it left the list, 0 for not, -1 for an index that stands for no node
+	free     []int   // such indexes
 }
 
+// put sets an array's figure at an index, which may be the one behind its last.
+func put[T any](a *[]T, n int, v T) {
+	if n == len(*a) {
+		*a = append(*a, v)
+	} else {
+		(*a)[n] = v
+	}
+}
+
+// add takes a node in, at an index that was given back where there is one.
 func (s *nodes) add(id string, shard int) int {
 	n := len(s.id)
+	if k := len(s.free) - 1; k >= 0 {
+		n, s.free = s.free[k], s.free[:k]
+	}
 	s.index[id] = n
-	s.id = append(s.id, id)
-	s.zone = append(s.zone, "")
-	s.kind = append(s.kind, "")
-	s.shard = append(s.shard, shard)
-	s.state = append(s.state, Up)
-	s.listed = append(s.listed, 0)
-	s.lead = append(s.lead, false)
-	s.started = append(s.started, 0)
-	s.pos = append(s.pos, 0)
-	s.posAt = append(s.posAt, 0)
-	s.lag = append(s.lag, 0)
-	s.role = append(s.role, RoleUnknown)
-	s.roleAt = append(s.roleAt, 0)
-	s.out = append(s.out, 0)
-	s.open = append(s.open, nil)
-	s.limit = append(s.limit, 0)
-	s.slow = append(s.slow, 1)
-	s.errs = append(s.errs, 0)
-	s.answered = append(s.answered, 0)
-	s.refused = append(s.refused, 0)
-	s.again = append(s.again, false)
-	s.suspect = append(s.suspect, false)
-	s.restTill = append(s.restTill, 0)
-	s.probedAt = append(s.probedAt, 0)
-	s.probing = append(s.probing, false)
-	s.rate = append(s.rate, 0)
-	s.ratedAt = append(s.ratedAt, 0)
-	s.warmRate = append(s.warmRate, 0)
-	s.credit = append(s.credit, 0)
-	s.creditAt = append(s.creditAt, 0)
+	put(&s.id, n, id)
+	put(&s.zone, n, "")
+	put(&s.kind, n, "")
+	put(&s.shard, n, shard)
+	put(&s.state, n, Up)
+	put(&s.listed, n, 0)
+	put(&s.lead, n, false)
+	put(&s.started, n, 0)
+	put(&s.pos, n, 0)
+	put(&s.posAt, n, 0)
+	put(&s.lag, n, 0)
+	put(&s.role, n, RoleUnknown)
+	put(&s.roleAt, n, 0)
+	put(&s.out, n, 0)
+	put(&s.open, n, nil)
+	put(&s.limit, n, 0)
+	put(&s.slow, n, 1)
+	put(&s.errs, n, 0)
+	put(&s.answered, n, 0)
+	put(&s.refused, n, 0)
+	put(&s.again, n, false)
+	put(&s.suspect, n, false)
+	put(&s.restTill, n, 0)
+	put(&s.probedAt, n, 0)
+	put(&s.probing, n, false)
+	put(&s.rate, n, 0)
+	put(&s.ratedAt, n, 0)
+	put(&s.warmRate, n, 0)
+	put(&s.credit, n, 0)
+	put(&s.creditAt, n, 0)
+	put(&s.goneAt, n, 0)
 	return n
 }
 
+// forget drops a node that is gone and on which nothing is out; its index may stand for another from now on.
+func (r *Router) forget(n int) {
+	s, sh := &r.node, r.node.shard[n]
+	r.shard.members[sh] = slices.DeleteFunc(r.shard.members[sh], func(m int) bool { return m == n })
+	if r.shard.primary[sh] == n {
+		r.shard.primary[sh] = -1
+	}
+	s.goneAt[n], s.state[n], s.suspect[n], s.lag[n] = -1, Removed, false, 0
+	delete(s.index, s.id[n])
+	s.free = append(s.free, n)
+	r.act.Forget(s.id[n])
+}
+
 // rateAt is a node's rate now, having faded over a span.
 func (s *nodes) rateAt(n int, now int64, span float64) float64 {
 	s.rate[n] *= max(0, 1-float64(now-s.ratedAt[n])/span)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -244,7 +244,7 @@
 			return o.h.bad("bytes", "no hex digits")
 		}
 		if from := n.num(f[2], "from"); n.err == nil {
-			r.Note(now, int(from), note)
+			_, _ = from, note // none is sent yet
 		}
 	}
 	return n.err
@@ -448,6 +448,9 @@
 	o.end()
 }
 
+// Forget implements route.Actions; the wire has no word for it.
+func (o *outlet) Forget(string) {}
+
 // Release implements route.Actions.
 func (o *outlet) Release(node string) {
 	o.action("drop_conns")
