Let limits grow where no other command fits, and up to what fills a small machine

Now judge() lets a limit grow in use, where it is two or more and no other command fits, and up to 3.0 by all routers.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -45,6 +45,7 @@
 	fadeSpan      = 10e6    // us in which what is known of a node's pace and errors fades by two thirds
 	firstLimit    = 8.0     // commands in flight at a node not yet known: a few for each core of a small machine
 	leastLimit    = 1.0     // commands in flight at a node that all routers together keep at the least
+	fillLeast     = 3.0     // the same that are taken to be no crowd: one for each core of a small machine
 	restSpan      = 2e5     // us of rest before an answer in time that let a limit under one double
 	limitGrow     = 0.1     // limit gained by an answer in time, while the limit is in use
 	limitUsed     = 0.7     // of a limit in flight: it is in use, and an answer in time speaks for more
@@ -617,7 +618,7 @@
 // judge learns a node's pace, errors and limit from how a dispatch ended.
 func (r *Router) judge(c *cmd, n int, o Outcome, took, now int64) {
 	s, g, at := &r.node, &r.group, c.tries[n].node
-	target := g.targets[c.group]
+	target, fill := g.targets[c.group], fillLeast/float64(r.siblings)
 	if !r.long(c.group) {
 		target = slices.Min(g.targets) // all short commands stand in the same lines: the tightest rules
 	}
@@ -636,7 +637,7 @@
 		s.rate[at] = s.rateAt(at, now, rateSpan) + g.usual[c.group]*1e6/rateSpan
 		if rest := r.rest(at, c.group); !late && rest > 0 { // the longer the rest, the more an answer in time says
 			s.limit[at] *= 1 + limitGrow + rest/restSpan
-		} else if !late && float64(s.out[at])+1 > min(limitUsed*s.limit[at], s.limit[at]-1) { // or no other fits
+		} else if !late && max(float64(s.out[at]+1), fill) > min(limitUsed*s.limit[at], max(1, s.limit[at]-1)) {
 			s.limit[at] += limitGrow
 		}
 	case Missed: // untouched: a node that leads misses nothing
@@ -663,8 +664,7 @@
 	}
 }
 
-// least is this router's part of the least limit.
-func (r *Router) least() float64 { return min(0.5, leastLimit/float64(r.siblings)) }
+func (r *Router) least() float64 { return min(0.5, leastLimit/float64(r.siblings)) } // this router's part
 
 // rest is the time that a node with a limit under one is left alone after each answer.
 func (r *Router) rest(n, g int) float64 { return max(0, r.group.usual[g]*(1/r.node.limit[n]-1)) }
