Bound the answers owed on one connection, and take nothing after its end

Found on the second reading of clients.go: query() took a command without looking whether its connection had been ended for another meanwhile (admit, End): it would run and its answer could not be given, which loses it. And local() queued an error for each bad query behind a command in hand, without a bound. Now a command on an ended connection is not taken, and behind 64 answers owed the connection ends with 53300.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -24,6 +24,7 @@
 	mostQuery   = 160_000   // bytes in one message: a value of 64 KiB in hex, and a statement
 	mostStartup = 10_000    // bytes in an opening message, as PostgreSQL has it
 	mostPiped   = 8         // commands in hand on one connection; our clients send the next after the answer
+	mostOwed    = 64        // answers owed on one connection, our own errors among them; then it ends behind them
 	heldPart    = 8         // part of the memory limit, one in so many, for commands and answers in hand
 	begunPart   = 16        // the same for messages that have begun
 	proveWait   = 2_200_000 // us for a connection's first command, and for a begun message to come whole: a
@@ -352,6 +353,11 @@
 	}
 	x := exchange.New(cmd, c, group, tenant, at)
 	c.mu.Lock()
+	if c.closed { // it was ended for another while this was read: an answer could not be given any more
+		c.mu.Unlock()
+		crossed.Add()
+		return
+	}
 	room := len(c.slots) < mostPiped && c.front.held.Load() < c.front.mostHeld
 	if room {
 		c.turn(busy)
@@ -378,6 +384,10 @@
 	if c.closed {
 		return
 	}
+	if !fatal && len(c.slots) >= mostOwed {
+		turned.Add()
+		p, fatal = pgwire.AppendError(nil, true, pgwire.CodeThrottled, "too many answers owed", 0), true
+	}
 	if fatal {
 		c.closed = true
 		if len(c.slots) == 0 {
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -486,6 +486,25 @@
 	}
 }
 
+// TestAnswersOwedAreBounded: behind a command in hand a client can pile up errors of ours only to a bound; what was
+// taken is answered first, then the connection ends.
+func TestAnswersOwedAreBounded(t *testing.T) {
+	primary := script(t, welcome, "")
+	r := start(t, 9, primary)
+	c := r.dial(t)
+	ask(c, "1", "put", "400") // it has no answer, so the errors wait behind it
+	for range 500 {
+		c.Write(pgwire.AppendQuery(nil, "SELECT 1"))
+	}
+	if got := brief(until(t, c, 'Z')); got != "58000" {
+		t.Errorf("what was taken: %q", got)
+	}
+	rest := until(t, c, 0)
+	if n := bytes.Count(rest, []byte("C22023")); n > 64 || !bytes.Contains(rest, []byte("C53300")) {
+		t.Errorf("%d errors", n)
+	}
+}
+
 // TestClientGone: its command's dispatch is called off, and the router owes nothing.
 func TestClientGone(t *testing.T) {
 	primary, replica := script(t, welcome), script(t, welcome, "")
