Rank newcomers behind those that had their time and behind the long idle

Where all places but one are held by clients that asked once and stay, admit() took a newcomer for less than any of these, so newcomers ended one another before they had asked.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,7 +3,6 @@
 package clients
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -29,6 +28,8 @@
 	begunPart   = 16        // the same for messages that have begun
 	proveWait   = 2_200_000 // us for a connection's first command, and for a begun message to come whole: a
 	// connection without a command may be closed after 2 s, and one that is of no use is owed an end within 3 s
+	greetWait  = 100_000                // us in which a usual client's first command has come, also where this router had no core
+	idleWait   = 2_000_000              // us without a command after which a connection may be closed
 	sweepEvery = 200 * time.Millisecond // between looks for those: a tenth of the wait
 )
 
@@ -93,9 +94,8 @@
 	return loop.Serve(ln)
 }
 
-// admit takes a connection. At the limit another makes room: one that has ended already, else one that never
-// sent a command, else one without a command in hand, each time the one that has been so for longest. None with
-// a command is ended. Guards against those who connect and ask nothing, and those who asked once and stay.
+// admit takes a connection. At the limit another makes room, by rank; none with a command is ended. Guards against
+// those who connect and ask nothing, and those who asked once and stay.
 func (f *Front) admit(nc netpoll.Connection) {
 	accepted.Add()
 	c := &conn{front: f, split: pgwire.NewSplitter(mostStartup, true), stream: stream.New(nc)}
@@ -105,9 +105,11 @@
 	f.next++
 	c.number = f.next
 	if len(f.conns) >= f.most {
+		now, least, first := f.now(), 0, int64(0)
 		for one := range f.conns {
-			if one.phase.Load() < busy && (out == nil || one.before(out)) {
-				out = one
+			since := one.since.Load()
+			if r := one.rank(now - since); r < rankBusy && (out == nil || r < least || r == least && since < first) {
+				out, least, first = one, r, since
 			}
 		}
 	}
@@ -164,7 +166,7 @@
 	}
 }
 
-// phase is how far a connection has come; those before busy may be ended for others, the first ones first.
+// phase is how far a connection has come.
 type phase = int32
 
 const (
@@ -206,9 +208,25 @@
 	c.phase.Store(p)
 }
 
-// before tells whether a connection is ended sooner than another to make room.
-func (c *conn) before(o *conn) bool {
-	return cmp.Or(cmp.Compare(c.phase.Load(), o.phase.Load()), cmp.Compare(c.since.Load(), o.since.Load())) < 0
+const rankBusy = 5
+
+// rank tells how soon the connection makes room for another, having been in its phase for so long: the ended
+// ones first, then those that had their time for a first command, then the long idle. Newcomers rank behind
+// these, or a crowd of idle ones would leave them one place, where each ends the one before.
+func (c *conn) rank(age int64) int {
+	switch p := c.phase.Load(); {
+	case p == gone:
+		return 0
+	case p == fresh && age > greetWait:
+		return 1
+	case p == calm && age > idleWait:
+		return 2
+	case p == fresh:
+		return 3
+	case p == calm:
+		return 4
+	}
+	return rankBusy
 }
 
 // evict ends the connection for another, unless a command has come meanwhile.
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -659,6 +659,7 @@
 // TestACrowdOfNoUse guards against those who connect and say nothing, or never say all: usual clients find
 // room among them at once, and each of them is told an error in its time.
 func TestACrowdOfNoUse(t *testing.T) {
+	t.Parallel()
 	r := start(t, 40, script(t, welcome, row+ready, row+ready))
 	half := pgwire.AppendQuery(nil, "/* id=9,c=look,t=acme,d=900,cluster=0 */ SELECT '"+strings.Repeat("x", 150_000))
 	half = append(pgwire.AppendStartup(nil, "a", "b"), half[:len(half)-9]...)
@@ -697,6 +698,38 @@
 	served("2")
 }
 
+// TestNewcomersAmongTheIdle guards against places held by clients that asked once and stayed: many newcomers at a
+// time find room, and do not end one another before they have asked.
+func TestNewcomersAmongTheIdle(t *testing.T) {
+	t.Parallel()
+	r := start(t, 20, script(t, welcome, strings.Split(strings.Repeat(row+ready+";", 40), ";")...))
+	served := func(c net.Conn, id string) {
+		t.Helper()
+		ask(c, id, "put", "900")
+		if got := brief(until(t, c, 'Z')); got != "row" {
+			t.Fatalf("%s: %q", id, got)
+		}
+	}
+	for i := range 20 {
+		served(r.dial(t), fmt.Sprint("stays", i))
+	}
+	time.Sleep(2100 * time.Millisecond)
+	var fresh []net.Conn
+	for range 10 {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		c.Write(pgwire.AppendStartup(nil, "a", "b"))
+		fresh = append(fresh, c)
+	}
+	for i, c := range fresh {
+		until(t, c, 'Z')
+		served(c, fmt.Sprint("new", i))
+	}
+}
+
 // TestWhatComesAfterAnErrorIsNotKept: the claim of a huge value is answered at once, and what follows is read,
 // so that the error arrives, and thrown away.
 func TestWhatComesAfterAnErrorIsNotKept(t *testing.T) {
