End long idle client connections but for a sixteenth of the places

Told by a log of every refusal and of the age and use of each connection: 128 connections, all that clients may hold here, each used once and then kept, while other clients find none. The router ended idle ones only at its own limit of 211.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,10 +3,12 @@
 package clients
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,21 +24,25 @@
 const (
 	mostQuery   = 160_000   // bytes in one message: a value of 64 KiB in hex, and a statement
 	mostStartup = 10_000    // bytes in an opening message, as PostgreSQL has it
-	mostPiped   = 8         // commands in hand on one connection; our clients send the next after the answer
-	mostOwed    = 64        // answers owed on one connection, our own errors among them; then it ends behind them
+	mostPiped   = 64        // commands in hand on one connection: some clients send many before they read
+	mostOwed    = 128       // answers owed on one connection, our own errors among them; then it ends behind them
 	heldPart    = 8         // part of the memory limit, one in so many, for commands and answers in hand
 	begunPart   = 16        // the same for messages that have begun
 	proveWait   = 2_200_000 // us for a connection's first command, and for a begun message to come whole: a
 	// connection without a command may be closed after 2 s, and one that is of no use is owed an end within 3 s
-	greetWait  = 100_000                // us in which a usual client's first command has come, also where this router had no core
-	idleWait   = 2_000_000              // us without a command after which a connection may be closed
-	sweepEvery = 200 * time.Millisecond // between looks for those: a tenth of the wait
+	greetWait = 100_000   // us in which a usual client's first command has come, also where this router had no core
+	idleWait  = 2_000_000 // us without a command after which a connection may be closed
+	idlePart  = 16        // of the places, one in so many, that may stand idle for longer: whoever asked once and
+	// stays holds a place that others need, at this router and in their own limits
+	sweepEvery = 100 * time.Millisecond // between looks for those: a twentieth of the wait
 )
 
 var (
 	accepted  = counters.New("client connections")
 	evicted   = counters.New("client connections evicted")
 	turned    = counters.New("client connections over limit")
+	crowded   = counters.New("commands over what is in hand")
+	parted    = counters.New("client connections long idle")
 	silent    = counters.New("client connections of no use")
 	malformed = counters.New("client streams malformed")
 	unread    = counters.New("queries refused")
@@ -138,10 +144,19 @@
 	return all
 }
 
-// sweep ends connections of no use: without a command from the start, or with a message that does not get whole.
+// sweep ends connections of no use: without a command from the start, or with a message that does not get whole,
+// and the longest idle where too many are.
 func (f *Front) sweep() {
-	now := f.now()
-	for _, c := range f.all() {
+	now, all := f.now(), f.all()
+	idle := slices.DeleteFunc(slices.Clone(all), func(c *conn) bool {
+		return c.phase.Load() != calm || now-c.since.Load() <= idleWait
+	})
+	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.since.Load(), b.since.Load()) })
+	for _, c := range idle[:max(0, len(idle)-f.most/idlePart)] {
+		parted.Add()
+		c.endBetween()
+	}
+	for _, c := range all {
 		late := c.phase.Load() == fresh && now-c.since.Load() > proveWait
 		if at := c.begunAt.Load(); late || at > 0 && now-at > proveWait && c.phase.Load() != gone {
 			silent.Add()
@@ -208,7 +223,7 @@
 	c.phase.Store(p)
 }
 
-const rankBusy = 5
+const rankBusy = 4
 
 // rank tells how soon the connection makes room for another, having been in its phase for so long: the ended
 // ones first, then those that had their time for a first command, then the long idle. Newcomers rank behind
@@ -223,8 +238,6 @@
 		return 2
 	case p == fresh:
 		return 3
-	case p == calm:
-		return 4
 	}
 	return rankBusy
 }
@@ -386,6 +399,7 @@
 	if room {
 		c.front.taker.Take(at, x)
 	} else {
+		crowded.Add()
 		c.refuse(false, pgwire.CodeThrottled, "too many commands in hand")
 	}
 }
