Hand a watch its address and version before a move can change them

Found by running the tests under the race detector several at a time: Follow's goroutine read address and index from variables that a move right behind the start had already changed, so the old watch could begin at the new address with no version.

--- a/internal/nodelist/watch.go
+++ b/internal/nodelist/watch.go
@@ -38,10 +38,10 @@
 	for ctx.Err() == nil {
 		life, end := context.WithCancel(ctx)
 		over := make(chan struct{})
-		go func() {
+		go func(address string, index int64) { // a move may come before it runs
 			Watch(life, address, index, on)
 			close(over)
-		}()
+		}(address, index)
 		select {
 		case address = <-moves:
 			index = unknown
