--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -238,14 +238,11 @@
 			return o.h.bad("cookie", "no number")
 		}
 		r.Timer(now, cookie)
-	case "note_from":
-		note, err := hex.DecodeString(text(f[3]))
-		if err != nil {
+	case "note_from": // none is sent yet
+		if _, err := hex.DecodeString(text(f[3])); err != nil {
 			return o.h.bad("bytes", "no hex digits")
 		}
-		if from := n.num(f[2], "from"); n.err == nil {
-			_, _ = from, note // none is sent yet
-		}
+		n.num(f[2], "from")
 	}
 	return n.err
 }
