--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -147,23 +147,23 @@
 // sweep ends connections of no use: without a command from the start, or with a message that does not get whole,
 // and the longest idle where too many are.
 func (f *Front) sweep() {
-	now, all := f.now(), f.all()
-	idle := slices.DeleteFunc(slices.Clone(all), func(c *conn) bool {
-		return c.phase.Load() != calm || now-c.since.Load() <= idleWait
-	})
-	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.since.Load(), b.since.Load()) })
-	for _, c := range idle[:max(0, len(idle)-f.most/idlePart)] {
-		parted.Add()
-		c.endBetween()
-	}
-	for _, c := range all {
-		late := c.phase.Load() == fresh && now-c.since.Load() > proveWait
-		if at := c.begunAt.Load(); late || at > 0 && now-at > proveWait && c.phase.Load() != gone {
+	now := f.now()
+	var idle []*conn
+	for _, c := range f.all() {
+		p, age, at := c.phase.Load(), now-c.since.Load(), c.begunAt.Load()
+		if p == fresh && age > proveWait || p != gone && at > 0 && now-at > proveWait {
 			silent.Add()
 			c.begunAt.Store(0)
 			c.refuse(true, pgwire.CodeIdle, "nothing whole came in time")
+		} else if p == calm && age > idleWait {
+			idle = append(idle, c)
 		}
 	}
+	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.since.Load(), b.since.Load()) })
+	for _, c := range idle[:max(0, len(idle)-f.most/idlePart)] {
+		parted.Add()
+		c.endBetween()
+	}
 }
 
 // End closes connections as soon as nothing is owed on them; what still comes on others is taken.
@@ -257,25 +257,15 @@
 // bytes takes what arrives.
 func (c *conn) bytes(p []byte) {
 	at := c.front.now()
-	for fed := false; ; {
-		c.mu.Lock()
-		closed := c.closed
-		c.mu.Unlock()
-		if closed { // read on, so that what was written arrives, but kept no more
-			crossed.Add()
-			c.split = nil
-			c.hold(at, 0)
-			return
-		}
-		if !fed {
-			c.split.Feed(p)
-			fed = true
-		}
+	if !c.over() {
+		c.split.Feed(p)
+	}
+	for !c.over() {
 		f, whole, err := c.split.Next()
 		if err != nil {
 			malformed.Add()
 			c.refuse(true, pgwire.CodeProtocol, err.Error())
-			continue
+			break
 		}
 		if !whole {
 			c.hold(at, int64(c.split.Left()))
@@ -288,6 +278,16 @@
 			c.open(f)
 		}
 	}
+	crossed.Add() // read on, so that what was written arrives, but kept no more
+	c.split = nil
+	c.hold(at, 0)
+}
+
+// over tells whether our side has ended or is about to; it stays so.
+func (c *conn) over() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
 }
 
 // hold notes how much has come of a message that is not whole. Where all such together are too much, whoever
@@ -335,7 +335,9 @@
 		}
 		c.query(at, statement)
 	case 'X':
-		c.shut()
+		c.mu.Lock()
+		c.closed = true
+		c.mu.Unlock()
 		c.stream.Close()
 	case 'P', 'B', 'E', 'D', 'C', 'F', 'd', 'c', 'f':
 		unread.Add()
@@ -430,13 +432,6 @@
 	c.flush()
 }
 
-// shut notes that nothing more is taken.
-func (c *conn) shut() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-}
-
 // flush writes the answers that are next in turn. While the router leaves, a command's answer is the last: a
 // connection that has just come up may bring its command with its startup. Called under the lock.
 func (c *conn) flush() {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -293,9 +293,6 @@
 	}
 }
 
-// Untrue counts the reports that were left out.
-func Untrue() int64 { return untrue.Count() }
-
 // passed tells whether a position can be true: none is later than the clock that all machines read.
 func passed(now, pos int64) bool {
 	if pos > now+positionStep {
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cairntiller/internal/clients"
+	"cairntiller/internal/counters"
 	"cairntiller/internal/engine"
 	"cairntiller/internal/exchange"
 	"cairntiller/internal/nodelist"
@@ -788,6 +789,16 @@
 	}
 }
 
+// counted is a counter's figure as it is printed.
+func counted(name string) (n int64) {
+	var all bytes.Buffer
+	counters.Print(&all)
+	if _, rest, found := strings.Cut(all.String(), name); found {
+		fmt.Sscan(rest, &n)
+	}
+	return n
+}
+
 // TestReportsThatCantBeTrue: a position later than the clock, or a report of which a part can't be read, proves
 // nothing, and the answer beside it stands.
 func TestReportsThatCantBeTrue(t *testing.T) {
@@ -804,13 +815,13 @@
 		millis, seconds := told(c.late)
 		r := start(t, 9, script(t, welcome), script(t, welcome,
 			status("role", "replica")+status("applied_ms", millis)+status("load", fmt.Sprintf(c.load, seconds))+row+ready))
-		before := engine.Untrue()
+		before := counted("reports that can't be true")
 		conn := r.dial(t)
 		ask(conn, "1", "look", "900")
 		if got := brief(until(t, conn, 'Z')); got != "row" {
 			t.Errorf("%s: %q", name, got)
 		}
-		if got := engine.Untrue() - before; got != c.wants {
+		if got := counted("reports that can't be true") - before; got != c.wants {
 			t.Errorf("%s: %d taken for untrue", name, got)
 		}
 	}
--- a/internal/nodes/pool.go
+++ b/internal/nodes/pool.go
@@ -153,9 +153,12 @@
 	})
 }
 
-// supply opens connections for the jobs that wait for one and can expect none.
+// short tells whether more jobs wait for a connection than can expect one.
+func (n *node) short() bool { return len(n.waiting) > n.dialling+n.settling }
+
+// supply opens connections for the jobs that can expect none.
 func (p *Pool) supply(n *node) {
-	for len(n.waiting) > n.dialling+n.settling {
+	for n.short() {
 		if p.open < p.most || p.spare() {
 			p.dial(n)
 			continue
@@ -204,7 +207,7 @@
 			p.open--
 			refused.Add()
 			slog.Debug("no connection", "node", n.name, "err", err, "code", code)
-			if len(n.waiting) > n.dialling+n.settling { // one job for each that is still to come
+			if n.short() {
 				j := n.waiting[0]
 				n.waiting = n.waiting[1:]
 				o := route.Unconnected
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,5 +1,4 @@
 // Package route decides what becomes of every command.
-//
 // A protocol makes an instance with New, hands each part its values (state.go), calls Start, and
 // then calls one method here for each thing that happens: ListBegins/ListNode/ListEnds, Arrive,
 // Seen, Reported..., Result, Probed, Gone, Timer. It acts through Actions (iface.go) alone. A command passes
@@ -449,8 +448,11 @@
 
 // ask takes the next turn at asking a group's members for the primary: it probes, or names the one to ask.
 func (r *Router) ask(sh int, now int64) int {
+	if now-r.shard.askedAt[sh] < askGap {
+		return -1
+	}
 	m := slices.DeleteFunc(slices.Clone(r.shard.members[sh]), func(n int) bool { return !r.listed(n) })
-	if len(m) == 0 || now-r.shard.askedAt[sh] < askGap {
+	if len(m) == 0 {
 		return -1
 	}
 	r.shard.askedAt[sh], r.shard.turn[sh] = now, r.shard.turn[sh]+1
@@ -659,9 +661,7 @@
 		}
 	}
 	s.limit[at] = max(r.least(), s.limit[at])
-	if rest := r.rest(at, c.group); rest > 0 { // one at a time is too much, for other routers use the node too
-		s.restTill[at] = max(s.restTill[at], now+int64(rest))
-	}
+	s.restTill[at] = max(s.restTill[at], now+int64(r.rest(at, c.group))) // other routers use the node too
 }
 
 func (r *Router) least() float64 { return min(0.5, leastLimit/float64(r.siblings)) } // this router's part
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -41,6 +41,7 @@
 // Stream is one connection.
 type Stream struct {
 	conn    netpoll.Connection
+	fd      int // -1 where the library tells none; the kernel refuses that
 	mu      sync.Mutex
 	out     []piece
 	queued  int // bytes in out and in what is being written
@@ -67,7 +68,10 @@
 // New takes a connection over; nothing is read before Start.
 func New(conn netpoll.Connection) *Stream {
 	conn.SetWriteTimeout(writeWait)
-	s := &Stream{conn: conn}
+	s := &Stream{conn: conn, fd: -1}
+	if c, ok := conn.(interface{ Fd() int }); ok {
+		s.fd = c.Fd()
+	}
 	s.room(readRoom)
 	return s
 }
@@ -169,9 +173,7 @@
 }
 
 func (s *Stream) room(bytes int) {
-	if fd, ok := s.conn.(interface{ Fd() int }); ok {
-		syscall.SetsockoptInt(fd.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
-	}
+	syscall.SetsockoptInt(s.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
 }
 
 // finish ends our side; the peer then ends its own, or is cut. Called under the lock.
@@ -183,21 +185,16 @@
 	}
 }
 
-func (s *Stream) half() {
-	if fd, ok := s.conn.(interface{ Fd() int }); ok {
-		syscall.Shutdown(fd.Fd(), syscall.SHUT_WR)
-	}
-}
+func (s *Stream) half() { syscall.Shutdown(s.fd, syscall.SHUT_WR) }
 
 // Quiet tells whether the connection lives and nothing has come that was not read: neither bytes nor its end.
 func (s *Stream) Quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fd, ok := s.conn.(interface{ Fd() int })
-	if s.ending || !ok || s.conn.Reader().Len() > 0 {
+	if s.ending || s.conn.Reader().Len() > 0 {
 		return false
 	}
-	_, _, err := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	_, _, err := syscall.Recvfrom(s.fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return errors.Is(err, syscall.EAGAIN)
 }
 
