--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,671 @@
+// Package duty decides which instance does a periodic duty, such as probing a node, and what the word of another
+// instance counts for. It does no I/O and has no clock: Up, Down, Add, Drop, Hear, Done and Tick are fed with what
+// happened and its time in microseconds of any clock that never goes backwards; Tick returns what to run. The same
+// calls give the same actions.
+//
+// A duty has a holder, who runs it, and a term, which grows with each claim. The member that rendezvous hashing
+// puts first among the working ones is its target. A claim is made in three cases only:
+//
+//   - the holder is gone, and this instance is the target;
+//   - another one holds it, this instance is the target and has not lately given it up (it is handed back);
+//   - nothing was heard of the duty for too long, and this instance's turn has come by its rank (it steps in).
+//
+// A holder that hears of a greater claim stops. Until then both run it, which is harmless, so none is ever without.
+package duty
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	overdueTimes = 1.75       // intervals without a word after which the first in rank steps in: one may be lost or late
+	overdueStep  = 0.4        // intervals more for each rank behind it: the first one's word comes in less
+	slowShare    = 0.5        // of what a member holds that is overdue when it counts as slow: its peers would do better
+	slowLeast    = 3          // duties that it must hold for that: a few say nothing
+	slowFor      = 15_000_000 // us in which a slow member is nobody's target: it must not come and go
+	yieldFor     = 20_000_000 // us after which a target takes back what another stepped in for
+	yieldMost    = 4          // doublings of it while that happens again
+	secondGap    = 5_000_000  // us between second opinions on one silent node: a fifth of a probe a second at most
+	settleFirst  = 3_000_000  // us of membership before a returned instance works: it must not flap
+	settleMost   = 4          // doublings of it for one that came back often
+	calmFor      = 300e6      // us without a return after which former ones are forgotten
+	joinWait     = 1_000_000  // us after its start in which an instance listens whether others are at work
+	standstill   = 1_000_000  // us without a tick: ten of them; this instance stood still itself
+	catchUp      = 500_000    // us after a standstill in which what is read may have lain as long as it took
+	sizeKept     = 600e6      // us for which the greatest number of instances seen is believed
+	roleFor      = 2_000_000  // us up to which a peer's word on a role is passed on: under the module's own 5 s of doubt
+	quietFor     = 2.5        // intervals up to which a peer's word on silence is
+	takeBurst    = 1.0        // seconds' worth of takeovers that may come at once
+)
+
+// State is what a member is to this instance.
+type State uint8
+
+// The states of a member.
+const (
+	Alive State = iota
+	Dead
+	Left
+)
+
+// Word is what one instance learnt by running a duty.
+type Word struct {
+	Key     string
+	Holder  string // who ran it
+	Term    uint64 // its claim; 0 for a second opinion, which claims nothing
+	Age     int64  // us since it was learnt
+	Started int64  // which process of the node it is about, as the node list tells it
+	Silent  bool   // the node gave no answer
+	Pos     int64  // position that the node told, 0 for none
+	Lead    int8   // 1 where the node says that it leads, -1 where it says not, 0 for neither
+	Load    string // the node's own figures, as they came
+}
+
+// Use is what a peer's word may be taken for.
+type Use struct {
+	Pos    int64 // a position that is proven, 0 for none
+	Lead   int8  // a hint at a role, never more
+	Silent bool  // nothing was heard there lately
+	Alive  bool  // it answered the peer lately
+	At     int64 // when the peer learnt it, on this instance's clock
+}
+
+// Run is a duty that is due at this instance.
+type Run struct {
+	Key   string
+	Check bool // only a second opinion on a silence
+}
+
+// Table is what one instance knows of duties and members.
+type Table struct {
+	self     int
+	interval int64
+	size     int     // instances that there are at the least, as the operator says
+	boxLoad  float64 // runs a second of one duty by all instances together, at most, whatever they know of another
+	takeRate float64 // duties a second that this instance takes over at most
+	takes    float64
+	takesAt  int64
+	tickAt   int64
+	lateBy   int64 // length of the last standstill
+	lateTill int64
+	heard    bool // a peer's fresh word has come since the start
+	working  bool
+	workAt   int64
+	returns  int
+	backAt   int64
+	minority bool
+	most     int // greatest number of members lately
+	mostAt   int64
+	every    int64 // interval in force
+	stale    bool  // targets are to be found anew
+
+	member members
+	duty   duties
+	taken  int64 // claims made so far
+	moved  int64 // times that a duty's target changed
+}
+
+// members holds the figures about instances, in parallel arrays under one dense index.
+type members struct {
+	index    map[string]int
+	name     []string
+	hash     []uint64
+	weight   []float64
+	born     []uint64 // its incarnation: greater after each start
+	state    []State
+	working  []bool
+	slowTill []int64
+	returns  []int
+	backAt   []int64
+	holds    []int // how many duties it holds
+	overdue  []int // of them, without a word for too long; counted anew by each tick
+	usable   []bool
+}
+
+// duties holds the figures about duties, the same way.
+type duties struct {
+	index    map[string]int
+	key      []string
+	hash     []uint64
+	started  []int64
+	target   []int32 // first by rendezvous among the usable
+	holder   []int32 // who runs it as far as is known, -1 for nobody
+	term     []uint64
+	freshAt  []int64 // when the newest word was learnt, by whomever
+	heard    []bool  // there was such a word
+	nextAt   []int64 // own next run
+	yield    []int64 // not taken back before
+	yields   []uint8 // how often that happened in a row
+	secondAt []int64
+	check    []bool // a second opinion is due
+	free     []int
+}
+
+// New makes the table of one instance. interval is in us; size is how many instances the operator runs; boxLoad is
+// how often a second all of them together may run one duty, even where they can't hear one another; takeRate is
+// how many duties a second one instance takes over.
+func New(now int64, self string, weight float64, born uint64, interval int64, size int, boxLoad, takeRate float64) *Table {
+	t := &Table{interval: max(interval, 1), size: max(size, 1), boxLoad: boxLoad, takeRate: takeRate,
+		takes: takeRate * takeBurst, takesAt: now, tickAt: now, workAt: now + joinWait,
+		mostAt: now, stale: true}
+	t.member.index, t.duty.index = map[string]int{}, map[string]int{}
+	t.self = t.enter(self, weight)
+	t.member.born[t.self], t.member.state[t.self] = born, Alive
+	t.pace(now)
+	return t
+}
+
+func (t *Table) enter(name string, weight float64) int {
+	s := &t.member
+	m := len(s.name)
+	s.index[name] = m
+	s.name = append(s.name, name)
+	s.hash = append(s.hash, xxhash.Sum64String(name))
+	s.weight = append(s.weight, weight)
+	s.born = append(s.born, 0)
+	s.state = append(s.state, Dead)
+	s.working = append(s.working, false)
+	s.slowTill = append(s.slowTill, 0)
+	s.returns = append(s.returns, 0)
+	s.backAt = append(s.backAt, 0)
+	s.holds = append(s.holds, 0)
+	s.overdue = append(s.overdue, 0)
+	s.usable = append(s.usable, false)
+	return m
+}
+
+// Up tells that a member is there, in an incarnation, and whether it says that it works.
+func (t *Table) Up(now int64, name string, weight float64, born uint64, working bool) {
+	s := &t.member
+	m, known := s.index[name]
+	if !known {
+		m = t.enter(name, weight)
+	}
+	if m == t.self || born < s.born[m] { // an old message about a process that is no more
+		return
+	}
+	back := known && (s.state[m] != Alive || born > s.born[m])
+	if back && now-s.backAt[m] > calmFor {
+		s.returns[m] = 0
+	}
+	if back {
+		s.returns[m]++
+		s.backAt[m], s.slowTill[m] = now, 0
+	}
+	was := s.state[m] == Alive
+	changed := !was || s.weight[m] != weight || s.working[m] != working
+	s.born[m], s.state[m], s.weight[m], s.working[m] = born, Alive, weight, working
+	if !was && t.minority { // it was cut off with few others: what the many do goes on, and it comes in like a newcomer
+		t.minority = t.few(t.alive())
+		t.Returned(now, t.returns+1)
+	}
+	t.stale = t.stale || changed
+	t.pace(now)
+}
+
+// Down tells that a member is gone, or left in order; a word on an older incarnation counts for nothing.
+func (t *Table) Down(now int64, name string, born uint64, left bool) {
+	s := &t.member
+	m, known := s.index[name]
+	if !known || m == t.self || born < s.born[m] || s.state[m] != Alive {
+		return
+	}
+	s.state[m], s.working[m] = Dead, false
+	if left {
+		s.state[m] = Left
+	}
+	t.minority = t.few(t.alive())
+	t.stale = true
+	t.pace(now)
+}
+
+// few tells whether so many live instances are the smaller part of those there are.
+func (t *Table) few(live int) bool { return 2*live < max(t.most, t.size) }
+
+// Returned tells how often this instance came back lately, as others saw it; the more often, the longer it waits
+// before it works again.
+func (t *Table) Returned(now int64, times int) {
+	if now-t.backAt > calmFor {
+		t.returns = 0
+	}
+	t.returns = max(t.returns, times)
+	if times > 0 {
+		t.backAt = now
+		t.setWorking(false)
+		t.workAt = max(t.workAt, now+t.settle())
+	}
+}
+
+func (t *Table) settle() int64 { return settleFirst << min(max(t.returns-1, 0), settleMost) }
+
+// Returns is how often a member came back lately, to be told to it.
+func (t *Table) Returns(name string) int {
+	if m, known := t.member.index[name]; known {
+		return t.member.returns[m]
+	}
+	return 0
+}
+
+func (t *Table) setWorking(on bool) {
+	if t.working != on {
+		t.working, t.stale = on, true
+		t.member.working[t.self] = on
+	}
+}
+
+// Working tells whether this instance takes part; others learn it by membership.
+func (t *Table) Working() bool { return t.working }
+
+func (t *Table) alive() (n int) {
+	for _, st := range t.member.state {
+		if st == Alive {
+			n++
+		}
+	}
+	return n
+}
+
+// pace sets the interval in force. However the instances are parted, groups of k of N that run a duty k*boxLoad/N
+// times a second at most come to boxLoad together.
+func (t *Table) pace(now int64) {
+	live := t.alive()
+	if live >= t.most || now-t.mostAt > sizeKept {
+		t.most, t.mostAt = live, now
+	}
+	n := max(t.most, t.size, live)
+	t.every = max(t.interval, int64(float64(n)/(float64(live)*t.boxLoad)*1e6))
+}
+
+// Every is the interval in force, in us.
+func (t *Table) Every() int64 { return t.every }
+
+// Add takes a duty on, or a new process of its node; the first run of a duty nobody spoke of is spread by its key.
+func (t *Table) Add(now int64, key string, started int64) {
+	s := &t.duty
+	if d, known := s.index[key]; known {
+		if s.started[d] != started { // the node is another process: what was known of it is of no use
+			s.started[d], s.check[d] = started, false
+		}
+		return
+	}
+	d := len(s.key)
+	if n := len(s.free) - 1; n >= 0 {
+		d, s.free = s.free[n], s.free[:n]
+	} else {
+		s.key, s.hash, s.started = append(s.key, ""), append(s.hash, 0), append(s.started, 0)
+		s.target, s.holder, s.term = append(s.target, -1), append(s.holder, -1), append(s.term, 0)
+		s.freshAt, s.heard, s.nextAt = append(s.freshAt, 0), append(s.heard, false), append(s.nextAt, 0)
+		s.yield, s.yields, s.secondAt = append(s.yield, 0), append(s.yields, 0), append(s.secondAt, 0)
+		s.check = append(s.check, false)
+	}
+	s.index[key] = d
+	s.key[d], s.hash[d], s.started[d] = key, xxhash.Sum64String(key), started
+	s.holder[d], s.term[d], s.heard[d], s.check[d] = -1, 0, false, false
+	s.yield[d], s.yields[d], s.secondAt[d] = 0, 0, 0
+	s.freshAt[d] = now // it is overdue only from here on
+	s.nextAt[d] = now + t.phase(d)
+	t.aim(d)
+}
+
+// phase spreads the first runs of a duty over an interval, otherwise at each instance.
+func (t *Table) phase(d int) int64 {
+	return int64(mix(t.duty.hash[d], t.member.hash[t.self]) % uint64(t.every))
+}
+
+// Drop forgets a duty.
+func (t *Table) Drop(key string) {
+	s := &t.duty
+	d, known := s.index[key]
+	if !known {
+		return
+	}
+	t.give(d, -1)
+	delete(s.index, key)
+	s.key[d], s.target[d] = "", -1
+	s.free = append(s.free, d)
+}
+
+// give notes who holds a duty.
+func (t *Table) give(d int, m int32) {
+	if was := t.duty.holder[d]; was >= 0 {
+		t.member.holds[was]--
+	}
+	if t.duty.holder[d] = m; m >= 0 {
+		t.member.holds[m]++
+	}
+}
+
+// mix joins two hashes; splitmix64's finish makes all bits depend on all.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// score is a member's weight in rendezvous hashing (Thaler and Ravishankar; weighted after Schindelhauer and
+// Schomaker): the highest has the duty, and another member's coming or going changes nothing between the rest.
+func (t *Table) score(m, d int) float64 {
+	u := (float64(mix(t.duty.hash[d], t.member.hash[m])>>11) + 0.5) / (1 << 53)
+	return -t.member.weight[m] / math.Log(u)
+}
+
+// first is the member with the highest score that a test lets through; -1 for none.
+func (t *Table) first(d int, of func(m int) bool) int {
+	best, top := -1, 0.0
+	for m := range t.member.name {
+		if !of(m) {
+			continue
+		}
+		if v := t.score(m, d); best < 0 || v > top || v == top && t.member.name[m] < t.member.name[best] {
+			best, top = m, v
+		}
+	}
+	return best
+}
+
+func (t *Table) aim(d int) {
+	if best := int32(t.first(d, func(m int) bool { return t.member.usable[m] })); best != t.duty.target[d] {
+		if t.duty.target[d] >= 0 {
+			t.moved++
+		}
+		t.duty.target[d] = best
+	}
+}
+
+// able tells whether a member may be a target. Where none works yet, all that live may.
+func (t *Table) able(m int, now int64) bool {
+	s := &t.member
+	return s.state[m] == Alive && s.working[m] && now >= s.slowTill[m]
+}
+
+// retarget finds the targets anew after the usable members changed. One that went moves only what was its own; one
+// that came takes only what it is first for.
+func (t *Table) retarget(now int64) {
+	t.stale = false
+	s := &t.member
+	any := false
+	for m := range s.name {
+		any = any || t.able(m, now)
+	}
+	var came []int
+	went := make([]bool, len(s.name))
+	for m := range s.name {
+		on := t.able(m, now) || !any && s.state[m] == Alive
+		if on && !s.usable[m] {
+			came = append(came, m)
+		}
+		went[m] = !on && s.usable[m]
+		s.usable[m] = on
+	}
+	for d, key := range t.duty.key {
+		if key == "" {
+			continue
+		}
+		if at := t.duty.target[d]; at < 0 || went[at] {
+			t.aim(d)
+			continue
+		}
+		for _, m := range came {
+			at := int(t.duty.target[d])
+			if v, top := t.score(m, d), t.score(at, d); v > top || v == top && s.name[m] < s.name[at] {
+				t.duty.target[d] = int32(m)
+				t.moved++
+			}
+		}
+	}
+}
+
+// rank is how many usable members other than the holder stand before this instance for a duty; all of them do
+// while it is none itself.
+func (t *Table) rank(d int) int {
+	own, n := t.score(t.self, d), 0
+	for m := range t.member.name {
+		if m != t.self && int32(m) != t.duty.holder[d] && t.member.usable[m] &&
+			(t.score(m, d) > own || !t.member.usable[t.self]) {
+			n++
+		}
+	}
+	return n
+}
+
+// greater orders two claims: the later term, and in one term the higher score, then the first name.
+func (t *Table) greater(d int, term uint64, m int32) bool {
+	s := &t.duty
+	if term != s.term[d] || s.holder[d] < 0 {
+		return term > s.term[d] || s.holder[d] < 0 && term == s.term[d]
+	}
+	h := int(s.holder[d])
+	return cmp.Or(cmp.Compare(t.score(int(m), d), t.score(h, d)),
+		cmp.Compare(t.member.name[h], t.member.name[m])) > 0
+}
+
+// Hear takes the word of another instance and tells what it may be used for.
+func (t *Table) Hear(now int64, w Word) (u Use) {
+	s := &t.duty
+	d, known := s.index[w.Key]
+	if !known || w.Age < 0 {
+		return u
+	}
+	if now < t.lateTill { // it may have lain unread while this instance stood still
+		w.Age += t.lateBy
+	}
+	u.At = now - w.Age
+	m, member := t.member.index[w.Holder]
+	if member && m == t.self { // an echo, or an earlier life of this instance
+		s.term[d] = max(s.term[d], w.Term)
+		return Use{}
+	}
+	t.heard = t.heard || w.Age < 2*t.every
+	newest := !s.heard[d] || u.At >= s.freshAt[d]
+	if newest {
+		s.freshAt[d], s.heard[d] = u.At, true
+	}
+	switch alive := member && t.member.state[m] == Alive; {
+	case !alive: // what is gone claims nothing, but a claim after it must be greater
+		s.term[d] = max(s.term[d], w.Term)
+	case w.Term > 0 && t.greater(d, w.Term, int32(m)):
+		if s.holder[d] == int32(t.self) && s.target[d] == int32(t.self) { // another stepped in for this one
+			s.yield[d] = now + yieldFor<<min(s.yields[d], yieldMost)
+			s.yields[d] = min(s.yields[d]+1, yieldMost)
+		}
+		s.term[d] = w.Term
+		t.give(d, int32(m))
+	}
+	if w.Started != s.started[d] { // of another process than the list names here: it proves nothing
+		return Use{}
+	}
+	// A log position never falls within one process, so it stays proven however old the word is.
+	u.Pos = w.Pos
+	if newest && now-u.At <= roleFor {
+		u.Lead = w.Lead
+	}
+	if newest && float64(now-u.At) <= quietFor*float64(t.every) {
+		u.Silent, u.Alive = w.Silent, !w.Silent
+	}
+	if newest && w.Silent && w.Term > 0 && now-s.secondAt[d] >= secondGap && t.rank(d) == 0 && t.working {
+		s.secondAt[d], s.check[d] = now, true
+	}
+	return u
+}
+
+// Done takes what this instance learnt by a run, and returns it as the word for the others.
+func (t *Table) Done(now int64, w Word, check bool) Word {
+	s := &t.duty
+	d, known := s.index[w.Key]
+	w.Holder, w.Age = t.member.name[t.self], 0
+	if !known {
+		return w
+	}
+	w.Started = s.started[d]
+	s.freshAt[d], s.heard[d] = now, true
+	switch {
+	case s.holder[d] == int32(t.self):
+		w.Term = s.term[d]
+		if !w.Silent && now > s.yield[d] {
+			s.yields[d] = 0
+		}
+	case check && !w.Silent: // the holder alone does not reach it
+		t.claim(d, now)
+		w.Term = s.term[d]
+	}
+	return w
+}
+
+// claim makes this instance the holder, and keeps the duty's rhythm.
+func (t *Table) claim(d int, now int64) {
+	s := &t.duty
+	s.term[d]++
+	t.give(d, int32(t.self))
+	t.taken++
+	if s.heard[d] {
+		s.nextAt[d] = max(now, s.freshAt[d]+t.every)
+	} else {
+		s.nextAt[d] = max(now, s.nextAt[d])
+	}
+}
+
+// Tick is to be called some ten times a second; it returns what is to be run now, in dst's room.
+func (t *Table) Tick(now int64, dst []Run) []Run {
+	dst = dst[:0]
+	if gap := now - t.tickAt; gap > standstill {
+		t.wake(now, gap)
+	}
+	t.tickAt = now
+	if !t.working && now >= t.workAt {
+		if t.heard && t.returns == 0 { // others are at work: it came back, whoever had counted it
+			t.Returned(now, 1)
+		} else {
+			t.setWorking(true)
+		}
+	}
+	t.takes = min(max(1, t.takeRate*takeBurst), t.takes+t.takeRate*float64(now-t.takesAt)/1e6)
+	t.takesAt = now
+	t.judge(now)
+	if t.stale {
+		t.retarget(now)
+	}
+	s := &t.duty
+	for d, key := range s.key {
+		if key == "" {
+			continue
+		}
+		if s.holder[d] != int32(t.self) && t.takes >= 1 && t.wants(d, now) {
+			t.takes--
+			t.claim(d, now)
+		}
+		switch {
+		case s.holder[d] == int32(t.self) && now >= s.nextAt[d]:
+			s.nextAt[d] = max(s.nextAt[d]+t.every, now+t.every/2)
+			s.check[d] = false
+			dst = append(dst, Run{Key: key})
+		case s.check[d]:
+			s.check[d] = false
+			dst = append(dst, Run{Key: key, Check: true})
+		}
+	}
+	return dst
+}
+
+// wants tells whether this instance is to claim a duty.
+func (t *Table) wants(d int, now int64) bool {
+	s := &t.duty
+	if late := now - s.freshAt[d] - int64(overdueTimes*float64(t.every)); late >= 0 {
+		return late >= int64(overdueStep*float64(t.every))*int64(t.rank(d))
+	}
+	if s.target[d] != int32(t.self) || !t.working {
+		return false
+	}
+	if h := s.holder[d]; h >= 0 && t.member.usable[h] {
+		return now >= s.yield[d]
+	}
+	return true
+}
+
+// judge finds members that live and yet do not deliver.
+func (t *Table) judge(now int64) {
+	s := &t.member
+	clear(s.overdue)
+	over := int64(overdueTimes * float64(t.every))
+	for d, h := range t.duty.holder {
+		if h >= 0 && now-t.duty.freshAt[d] > over {
+			s.overdue[h]++
+		}
+	}
+	for m, n := range s.overdue {
+		if m != t.self && s.state[m] == Alive && now >= s.slowTill[m] && s.holds[m] >= slowLeast &&
+			float64(n) > slowShare*float64(s.holds[m]) {
+			s.slowTill[m], t.stale = now+slowFor, true
+		}
+		if s.slowTill[m] > 0 && now >= s.slowTill[m] {
+			s.slowTill[m], t.stale = 0, true
+		}
+	}
+}
+
+// wake is for an instance that stood still: others have taken over, and what it holds is theirs until it hears
+// nothing of it for as long as anybody would wait.
+func (t *Table) wake(now, gap int64) {
+	t.lateBy, t.lateTill = gap, now+catchUp
+	if gap < int64(overdueTimes*float64(t.every)) {
+		return
+	}
+	for d, h := range t.duty.holder {
+		t.duty.freshAt[d] = max(t.duty.freshAt[d], now-t.every/2)
+		if h == int32(t.self) {
+			t.give(d, -1)
+		}
+	}
+	clear(t.member.slowTill)
+	t.Returned(now, max(1, t.returns))
+}
+
+// Holds is how many duties this instance runs.
+func (t *Table) Holds() int { return t.member.holds[t.self] }
+
+// Mine tells whether this instance runs a duty.
+func (t *Table) Mine(key string) bool {
+	d, known := t.duty.index[key]
+	return known && t.duty.holder[d] == int32(t.self)
+}
+
+// Holder is who runs a duty as far as is known, its term, and the age of the newest word in us; -1 for none yet.
+func (t *Table) Holder(now int64, key string) (name string, term uint64, age int64) {
+	d, known := t.duty.index[key]
+	if !known {
+		return "", 0, -1
+	}
+	if h := t.duty.holder[d]; h >= 0 {
+		name = t.member.name[h]
+	}
+	if age = -1; t.duty.heard[d] {
+		age = now - t.duty.freshAt[d]
+	}
+	return name, t.duty.term[d], age
+}
+
+// Figures are claims made, changes of target, live members and slow ones.
+func (t *Table) Figures(now int64) (taken, moved int64, live, slow int) {
+	for m, st := range t.member.state {
+		if st == Alive && t.member.slowTill[m] > now {
+			slow++
+		}
+	}
+	return t.taken, t.moved, t.alive(), slow
+}
+
+// Keys are the duties, in order.
+func (t *Table) Keys() []string {
+	keys := make([]string, 0, len(t.duty.index))
+	for key := range t.duty.index {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
