--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -34,6 +34,8 @@
 	settleMost   = 4          // doublings of it for one that came back often
 	calmFor      = 300e6      // us without a return after which former ones are forgotten
 	joinWait     = 1_000_000  // us after its start in which an instance listens whether others are at work
+	lateUp       = 0.25       // of its excess that a word later than usual adds to the usual lateness
+	lateDown     = 0.01       // the same for one that is sooner: the upper end counts
 	standstill   = 1_000_000  // us without a tick: ten of them; this instance stood still itself
 	catchUp      = 500_000    // us after a standstill in which what is read may have lain as long as it took
 	sizeKept     = 600e6      // us for which the greatest number of instances seen is believed
@@ -92,7 +94,8 @@
 	tickAt   int64
 	lateBy   int64 // length of the last standstill
 	lateTill int64
-	heard    bool // a peer's fresh word has come since the start
+	lag      float64 // age at which words arrive, by its upper end
+	heard    bool    // a peer's fresh word has come since the start
 	working  bool
 	workAt   int64
 	returns  int
@@ -117,7 +120,6 @@
 	weight   []float64
 	born     []uint64 // its incarnation: greater after each start
 	state    []State
-	working  []bool
 	slowTill []int64
 	returns  []int
 	backAt   []int64
@@ -168,7 +170,6 @@
 	s.weight = append(s.weight, weight)
 	s.born = append(s.born, 0)
 	s.state = append(s.state, Dead)
-	s.working = append(s.working, false)
 	s.slowTill = append(s.slowTill, 0)
 	s.returns = append(s.returns, 0)
 	s.backAt = append(s.backAt, 0)
@@ -178,8 +179,8 @@
 	return m
 }
 
-// Up tells that a member is there, in an incarnation, and whether it says that it works.
-func (t *Table) Up(now int64, name string, weight float64, born uint64, working bool) {
+// Up tells that a member is there, in an incarnation.
+func (t *Table) Up(now int64, name string, weight float64, born uint64) {
 	s := &t.member
 	m, known := s.index[name]
 	if !known {
@@ -197,8 +198,8 @@
 		s.backAt[m], s.slowTill[m] = now, 0
 	}
 	was := s.state[m] == Alive
-	changed := !was || s.weight[m] != weight || s.working[m] != working
-	s.born[m], s.state[m], s.weight[m], s.working[m] = born, Alive, weight, working
+	changed := !was || s.weight[m] != weight
+	s.born[m], s.state[m], s.weight[m] = born, Alive, weight
 	if !was && t.minority { // it was cut off with few others: what the many do goes on, and it comes in like a newcomer
 		t.minority = t.few(t.alive())
 		t.Returned(now, t.returns+1)
@@ -214,7 +215,7 @@
 	if !known || m == t.self || born < s.born[m] || s.state[m] != Alive {
 		return
 	}
-	s.state[m], s.working[m] = Dead, false
+	s.state[m] = Dead
 	if left {
 		s.state[m] = Left
 	}
@@ -235,7 +236,7 @@
 	t.returns = max(t.returns, times)
 	if times > 0 {
 		t.backAt = now
-		t.setWorking(false)
+		t.working = false
 		t.workAt = max(t.workAt, now+t.settle())
 	}
 }
@@ -250,14 +251,8 @@
 	return 0
 }
 
-func (t *Table) setWorking(on bool) {
-	if t.working != on {
-		t.working, t.stale = on, true
-		t.member.working[t.self] = on
-	}
-}
-
-// Working tells whether this instance takes part; others learn it by membership.
+// Working tells whether this instance claims what it is the target of. One that has just come back does not yet;
+// those that hold its duties go on until it claims them.
 func (t *Table) Working() bool { return t.working }
 
 func (t *Table) alive() (n int) {
@@ -379,10 +374,9 @@
 	}
 }
 
-// able tells whether a member may be a target. Where none works yet, all that live may.
+// able tells whether a member may be a target.
 func (t *Table) able(m int, now int64) bool {
-	s := &t.member
-	return s.state[m] == Alive && s.working[m] && now >= s.slowTill[m]
+	return t.member.state[m] == Alive && now >= t.member.slowTill[m]
 }
 
 // retarget finds the targets anew after the usable members changed. One that went moves only what was its own; one
@@ -390,14 +384,10 @@
 func (t *Table) retarget(now int64) {
 	t.stale = false
 	s := &t.member
-	any := false
-	for m := range s.name {
-		any = any || t.able(m, now)
-	}
 	var came []int
 	went := make([]bool, len(s.name))
 	for m := range s.name {
-		on := t.able(m, now) || !any && s.state[m] == Alive
+		on := t.able(m, now)
 		if on && !s.usable[m] {
 			came = append(came, m)
 		}
@@ -422,13 +412,11 @@
 	}
 }
 
-// rank is how many usable members other than the holder stand before this instance for a duty; all of them do
-// while it is none itself.
+// rank is how many usable members other than the holder stand before this instance for a duty.
 func (t *Table) rank(d int) int {
 	own, n := t.score(t.self, d), 0
 	for m := range t.member.name {
-		if m != t.self && int32(m) != t.duty.holder[d] && t.member.usable[m] &&
-			(t.score(m, d) > own || !t.member.usable[t.self]) {
+		if m != t.self && int32(m) != t.duty.holder[d] && t.member.usable[m] && t.score(m, d) > own {
 			n++
 		}
 	}
@@ -453,6 +441,7 @@
 	if !known || w.Age < 0 {
 		return u
 	}
+	t.beat(now)
 	if now < t.lateTill { // it may have lain unread while this instance stood still
 		w.Age += t.lateBy
 	}
@@ -466,6 +455,11 @@
 	newest := !s.heard[d] || u.At >= s.freshAt[d]
 	if newest {
 		s.freshAt[d], s.heard[d] = u.At, true
+		gain := lateDown
+		if float64(w.Age) > t.lag {
+			gain = lateUp
+		}
+		t.lag += gain * (min(float64(w.Age), 2*float64(t.every)) - t.lag)
 	}
 	switch alive := member && t.member.state[m] == Alive; {
 	case !alive: // what is gone claims nothing, but a claim after it must be greater
@@ -534,15 +528,12 @@
 // Tick is to be called some ten times a second; it returns what is to be run now, in dst's room.
 func (t *Table) Tick(now int64, dst []Run) []Run {
 	dst = dst[:0]
-	if gap := now - t.tickAt; gap > standstill {
-		t.wake(now, gap)
-	}
-	t.tickAt = now
+	t.beat(now)
 	if !t.working && now >= t.workAt {
 		if t.heard && t.returns == 0 { // others are at work: it came back, whoever had counted it
 			t.Returned(now, 1)
 		} else {
-			t.setWorking(true)
+			t.working = true
 		}
 	}
 	t.takes = min(max(1, t.takeRate*takeBurst), t.takes+t.takeRate*float64(now-t.takesAt)/1e6)
@@ -576,7 +567,7 @@
 // wants tells whether this instance is to claim a duty.
 func (t *Table) wants(d int, now int64) bool {
 	s := &t.duty
-	if late := now - s.freshAt[d] - int64(overdueTimes*float64(t.every)); late >= 0 {
+	if late := now - s.freshAt[d] - t.patience(); late >= 0 {
 		return late >= int64(overdueStep*float64(t.every))*int64(t.rank(d))
 	}
 	if s.target[d] != int32(t.self) || !t.working {
@@ -588,11 +579,16 @@
 	return true
 }
 
+// patience is how old the newest word of a duty may be: where words arrive late, more, by up to an interval.
+func (t *Table) patience() int64 {
+	return int64(overdueTimes*float64(t.every) + min(t.lag, float64(t.every)))
+}
+
 // judge finds members that live and yet do not deliver.
 func (t *Table) judge(now int64) {
 	s := &t.member
 	clear(s.overdue)
-	over := int64(overdueTimes * float64(t.every))
+	over := t.patience()
 	for d, h := range t.duty.holder {
 		if h >= 0 && now-t.duty.freshAt[d] > over {
 			s.overdue[h]++
@@ -609,11 +605,19 @@
 	}
 }
 
+// beat finds out whether this instance stood still itself.
+func (t *Table) beat(now int64) {
+	if gap := now - t.tickAt; gap > standstill {
+		t.wake(now, gap)
+	}
+	t.tickAt = now
+}
+
 // wake is for an instance that stood still: others have taken over, and what it holds is theirs until it hears
 // nothing of it for as long as anybody would wait.
 func (t *Table) wake(now, gap int64) {
 	t.lateBy, t.lateTill = gap, now+catchUp
-	if gap < int64(overdueTimes*float64(t.every)) {
+	if gap < t.patience() {
 		return
 	}
 	for d, h := range t.duty.holder {
