Check the duty table against a plain model on generated inputs

Need: the table's rules stated a second time, plainly. Change: a model beside it, driven by rapid and a fuzz target. Found: a member whose weight changed kept what it was first for; mended.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -198,13 +198,20 @@
 		s.backAt[m], s.slowTill[m] = now, 0
 	}
 	was := s.state[m] == Alive
-	changed := !was || s.weight[m] != weight
+	if s.weight[m] != weight { // what it was first for is open again, and so is the rest to it
+		for d, at := range t.duty.target {
+			if at == int32(m) {
+				t.duty.target[d] = -1
+			}
+		}
+		s.usable[m] = false
+	}
+	t.stale = t.stale || !was || s.weight[m] != weight
 	s.born[m], s.state[m], s.weight[m] = born, Alive, weight
 	if !was && t.minority { // it was cut off with few others: what the many do goes on, and it comes in like a newcomer
 		t.minority = t.few(t.alive())
 		t.Returned(now, t.returns+1)
 	}
-	t.stale = t.stale || changed
 	t.pace(now)
 }
 
--- /dev/null
+++ b/internal/duty/model_test.go
@@ -0,0 +1,361 @@
+package duty
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of generated tests, so that the verdict is the same each time; -rapid.seed takes another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		f.Value.Set("20261201")
+	}
+	os.Exit(m.Run())
+}
+
+// model is the rules of a table in the plainest form: maps, and every answer found anew from all that is known.
+type model struct {
+	t        *rapid.T
+	self     string
+	now      int64
+	tickAt   int64
+	members  map[string]*modelMember
+	duties   map[string]*modelDuty
+	interval int64
+}
+
+type modelMember struct {
+	weight float64
+	born   uint64
+	alive  bool
+}
+
+type modelDuty struct {
+	started, fresh int64
+	heard          bool
+	holder         string
+	term           uint64
+}
+
+func (m *model) score(member, key string) float64 {
+	u := (float64(mix(xxhash.Sum64String(key), xxhash.Sum64String(member))>>11) + 0.5) / (1 << 53)
+	return -m.members[member].weight / math.Log(u)
+}
+
+// target is the live member with the highest score; the names decide where two are equal.
+func (m *model) target(key string, slow map[string]bool) string {
+	best := ""
+	for name, one := range m.members {
+		if !one.alive || slow[name] {
+			continue
+		}
+		if best == "" || m.score(name, key) > m.score(best, key) ||
+			m.score(name, key) == m.score(best, key) && name < best {
+			best = name
+		}
+	}
+	return best
+}
+
+// greater is the order of claims.
+func (m *model) greater(key string, term uint64, by string) bool {
+	d := m.duties[key]
+	switch {
+	case term != d.term:
+		return term > d.term
+	case d.holder == "":
+		return true
+	case m.score(by, key) != m.score(d.holder, key):
+		return m.score(by, key) > m.score(d.holder, key)
+	}
+	return by < d.holder
+}
+
+func (m *model) hear(w Word) (want Use, any bool) {
+	d := m.duties[w.Key]
+	if d == nil || w.Age < 0 {
+		return Use{}, false
+	}
+	if w.Holder == m.self {
+		d.term = max(d.term, w.Term)
+		return Use{}, false
+	}
+	at := m.now - w.Age
+	newest := !d.heard || at >= d.fresh
+	if newest {
+		d.fresh, d.heard = at, true
+	}
+	if one := m.members[w.Holder]; one == nil || !one.alive {
+		d.term = max(d.term, w.Term)
+	} else if w.Term > 0 && m.greater(w.Key, w.Term, w.Holder) {
+		d.term, d.holder = w.Term, w.Holder
+	}
+	if w.Started != d.started {
+		return Use{}, false
+	}
+	want = Use{At: at, Pos: w.Pos}
+	if newest && w.Age <= 2_000_000 {
+		want.Lead = w.Lead
+	}
+	if newest && w.Age <= m.interval*5/2 {
+		want.Silent, want.Alive = w.Silent, !w.Silent
+	}
+	return want, true
+}
+
+// agree compares all that the table believes with the model.
+func (m *model) agree(tab *Table) {
+	slow := map[string]bool{}
+	for i, name := range tab.member.name {
+		slow[name] = m.now < tab.member.slowTill[i]
+	}
+	for key, d := range m.duties {
+		holder, term, age := tab.Holder(m.now, key)
+		if holder != d.holder || term != d.term {
+			m.t.Fatalf("%s: held by %q at %d, want %q at %d", key, holder, term, d.holder, d.term)
+		}
+		if d.heard && age != m.now-d.fresh {
+			m.t.Fatalf("%s: its word is %d us old, want %d", key, age, m.now-d.fresh)
+		}
+		if want := m.target(key, slow); !tab.stale && tab.member.name[tab.duty.target[tab.duty.index[key]]] != want {
+			m.t.Fatalf("%s: it falls to %s, want %s", key, tab.member.name[tab.duty.target[tab.duty.index[key]]], want)
+		}
+	}
+	held := map[string]int{}
+	for _, d := range m.duties {
+		held[d.holder]++
+	}
+	for i, name := range tab.member.name {
+		if tab.member.holds[i] != held[name] {
+			m.t.Fatalf("%s holds %d, want %d", name, tab.member.holds[i], held[name])
+		}
+	}
+}
+
+// tick runs the table's beat and finds a reason for each claim that it made.
+func (m *model) tick(tab *Table) {
+	before := map[string]modelDuty{}
+	for key, d := range m.duties {
+		before[key] = *d
+	}
+	if m.now-m.tickAt > standstill {
+		m.still(tab)
+	}
+	runs := tab.Tick(m.now, nil)
+	m.tickAt = m.now
+	slow := map[string]bool{}
+	for i, name := range tab.member.name {
+		slow[name] = m.now < tab.member.slowTill[i]
+	}
+	claims := 0
+	for key, d := range m.duties {
+		holder, term, _ := tab.Holder(m.now, key)
+		if holder == d.holder && term == d.term {
+			continue
+		}
+		claims++
+		late := m.now-d.fresh >= int64(overdueTimes*float64(tab.Every()))
+		if holder != m.self || term != d.term+1 || !late && (m.target(key, slow) != m.self || !tab.Working()) {
+			m.t.Fatalf("%s: claimed by %q at %d after %+v, late %v", key, holder, term, d, late)
+		}
+		d.holder, d.term = holder, term
+	}
+	if claims > 5 {
+		m.t.Fatalf("%d duties taken over at once, 5 a second are allowed", claims)
+	}
+	seen := map[string]bool{}
+	for _, r := range runs {
+		if seen[r.Key] || m.duties[r.Key] == nil || !r.Check && m.duties[r.Key].holder != m.self {
+			m.t.Fatalf("%+v is run, held by %q", r, m.duties[r.Key].holder)
+		}
+		seen[r.Key] = true
+	}
+	m.agree(tab)
+}
+
+// still is a standstill of the instance's own: after one as long as others wait, what it held is theirs.
+func (m *model) still(tab *Table) {
+	if m.now-m.tickAt < tab.patience() {
+		return
+	}
+	for _, d := range m.duties {
+		d.fresh = max(d.fresh, m.now-tab.Every()/2)
+		if d.holder == m.self {
+			d.holder = ""
+		}
+	}
+}
+
+// property drives a table and the model with the same generated inputs.
+func property(t *rapid.T) {
+	const interval = 1_000_000
+	m := &model{t: t, self: "r0", now: 5_000_000, tickAt: 5_000_000, interval: interval,
+		members: map[string]*modelMember{"r0": {weight: 1, born: 1, alive: true}}, duties: map[string]*modelDuty{}}
+	// A box load without bound keeps the interval as it is.
+	tab := New(m.now, "r0", 1, 1, interval, 1, 1e9, 5)
+	member := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "member")) })
+	key := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("probe/s-", rapid.IntRange(0, 9).Draw(t, "box")) })
+	t.Repeat(map[string]func(*rapid.T){
+		"up": func(t *rapid.T) {
+			name, weight, born := member.Draw(t, "name"), rapid.Float64Range(0.5, 2).Draw(t, "weight"), rapid.Uint64Range(1, 4).Draw(t, "born")
+			tab.Up(m.now, name, weight, born)
+			if one := m.members[name]; name != m.self && (one == nil || born >= one.born) {
+				m.members[name] = &modelMember{weight, born, true}
+			}
+		},
+		"down": func(t *rapid.T) {
+			name, born := member.Draw(t, "name"), rapid.Uint64Range(1, 4).Draw(t, "born")
+			tab.Down(m.now, name, born, rapid.Bool().Draw(t, "left"))
+			if one := m.members[name]; one != nil && name != m.self && born >= one.born {
+				one.alive = false
+			}
+		},
+		"add": func(t *rapid.T) {
+			k, started := key.Draw(t, "key"), rapid.Int64Range(0, 2).Draw(t, "started")
+			tab.Add(m.now, k, started)
+			if d := m.duties[k]; d != nil {
+				d.started = started
+			} else {
+				m.duties[k] = &modelDuty{started: started, fresh: m.now}
+			}
+		},
+		"drop": func(t *rapid.T) {
+			k := key.Draw(t, "key")
+			tab.Drop(k)
+			delete(m.duties, k)
+		},
+		"hear": func(t *rapid.T) {
+			w := Word{Key: key.Draw(t, "key"), Holder: member.Draw(t, "holder"), Term: rapid.Uint64Range(0, 9).Draw(t, "term"),
+				Age: rapid.Int64Range(-1, 6_000_000).Draw(t, "age"), Started: rapid.Int64Range(0, 2).Draw(t, "started"),
+				Silent: rapid.Bool().Draw(t, "silent"), Pos: rapid.Int64Range(0, 9).Draw(t, "pos"),
+				Lead: rapid.SampledFrom([]int8{-1, 0, 1}).Draw(t, "lead")}
+			want, any := m.hear(w)
+			if got := tab.Hear(m.now, w); any && got != want || !any && (got.Pos != 0 || got.Lead != 0 || got.Silent || got.Alive) {
+				t.Fatalf("%+v is taken for %+v, want %+v", w, got, want)
+			}
+		},
+		"done": func(t *rapid.T) {
+			k, silent, check := key.Draw(t, "key"), rapid.Bool().Draw(t, "silent"), rapid.Bool().Draw(t, "check")
+			w := tab.Done(m.now, Word{Key: k, Silent: silent}, check)
+			d := m.duties[k]
+			if d == nil {
+				return
+			}
+			d.fresh, d.heard = m.now, true
+			if d.holder != m.self && check && !silent {
+				d.holder, d.term = m.self, d.term+1
+			}
+			if want := d.term; w.Holder != m.self || w.Started != d.started || d.holder == m.self && w.Term != want ||
+				d.holder != m.self && w.Term != 0 {
+				t.Fatalf("%+v of %+v", w, d)
+			}
+		},
+		"time": func(t *rapid.T) {
+			m.now += rapid.Int64Range(1, 900_000).Draw(t, "us")
+			m.tick(tab)
+		},
+		"standstill": func(t *rapid.T) {
+			m.now += rapid.Int64Range(1_100_000, 12_000_000).Draw(t, "us")
+			m.tick(tab)
+			// What is read right after lies as long as the instance stood: it is left out here.
+			for m.now < tab.lateTill {
+				m.now += 400_000
+				m.tick(tab)
+			}
+		},
+	})
+}
+
+func TestModel(t *testing.T) { rapid.Check(t, property) }
+
+func FuzzModel(f *testing.F) {
+	f.Add([]byte("a table of duties, and whoever holds them"))
+	f.Add(make([]byte, 4096))
+	f.Fuzz(rapid.MakeFuzz(property))
+}
+
+// TestWhatLayUnread: what is read after a standstill is as old as it may be.
+func TestWhatLayUnread(t *testing.T) {
+	tab := New(0, "r0", 1, 1, 1_000_000, 3, 4, 50)
+	tab.Add(0, "probe/a", 7)
+	tab.Up(0, "r1", 1, 1)
+	tab.Tick(100_000, nil)
+	u := tab.Hear(10_100_000, Word{Key: "probe/a", Holder: "r1", Term: 1, Age: 50_000, Started: 7, Pos: 9, Lead: 1})
+	if u.At != 50_000 || u.Pos != 9 || u.Lead != 0 || u.Alive {
+		t.Errorf("%+v", u)
+	}
+}
+
+// TestWeights: a member of twice the weight has twice the duties.
+func TestWeights(t *testing.T) {
+	tab := New(0, "r0", 1, 1, 1_000_000, 3, 4, 1e9)
+	tab.Up(0, "r1", 2, 1)
+	tab.Up(0, "r2", 1, 1)
+	for i := range 4000 {
+		tab.Add(0, fmt.Sprint("probe/", i), 0)
+	}
+	tab.Tick(joinWait, nil)
+	tab.Tick(joinWait+100_000, nil)
+	if n := tab.Holds(); n < 900 || n > 1100 {
+		t.Errorf("%d of 4000 at a quarter of the weight", n)
+	}
+}
+
+// TestBoundedMoves: a member's death moves its own duties and no others, its return the same ones back.
+func TestBoundedMoves(t *testing.T) {
+	tab := New(0, "r0", 1, 1, 1_000_000, 3, 4, 1e9)
+	for i := 1; i < 10; i++ {
+		tab.Up(0, fmt.Sprint("r", i), 1, 1)
+	}
+	for i := range 1000 {
+		tab.Add(0, fmt.Sprint("probe/", i), 0)
+	}
+	tab.Tick(100_000, nil)
+	own := int64(0)
+	for _, at := range tab.duty.target {
+		if tab.member.name[at] == "r4" {
+			own++
+		}
+	}
+	_, was, _, _ := tab.Figures(0)
+	tab.Down(200_000, "r4", 1, false)
+	tab.Tick(200_000, nil)
+	if _, n, _, _ := tab.Figures(0); n-was != own || own == 0 {
+		t.Errorf("%d moves for %d duties of the dead", n-was, own)
+	}
+	tab.Up(300_000, "r4", 1, 2)
+	tab.Tick(300_000, nil)
+	if _, n, _, _ := tab.Figures(0); n-was != 2*own {
+		t.Errorf("%d moves there and back for %d duties", n-was, own)
+	}
+}
+
+// TestBoxLoad: however the instances are parted, the parts together stay under a box's load.
+func TestBoxLoad(t *testing.T) {
+	for _, parts := range [][]int{{3}, {2, 1}, {1, 1, 1}, {100, 200}, {1, 1, 298}, {150, 75, 75}} {
+		all, load := 0, 0.0
+		for _, k := range parts {
+			all += k
+		}
+		for _, k := range parts {
+			tab := New(0, "r0", 1, 1, 1_000_000, 1, 4, 50)
+			for i := 1; i < all; i++ {
+				tab.Up(0, fmt.Sprint("r", i), 1, 1)
+			}
+			for i := k; i < all; i++ {
+				tab.Down(0, fmt.Sprint("r", i), 1, false)
+			}
+			load += 1e6 / float64(tab.Every())
+		}
+		if load > 4.001 {
+			t.Errorf("%v: %.1f runs a second", parts, load)
+		}
+	}
+}
