Membership of cooperating routers: joining, loss, return, keys that change in service

Need: instances that divide duties must know one another and hear what the others learnt. Change: internal/fleet on hashicorp/memberlist with bounded, versioned CBOR messages; strangers are refused and counted; internal/sexp reads the operator's file; internal/standin/badnet makes the network faulty in tests.

--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,561 @@
+// Package fleet carries membership and messages among cooperating routers, on a membership library over TCP and
+// UDP. It decides who may be a member and which message is news (gate.go); what becomes of members and words is the
+// business of whoever starts it. Everything is encrypted, with keys that can be changed in service.
+package fleet
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"cairntiller/internal/counters"
+	"cairntiller/internal/duty"
+	"cairntiller/internal/sexp"
+)
+
+const (
+	beatEvery   = 500 * time.Millisecond // between the library's own looks at one member each
+	beatWait    = 250 * time.Millisecond // for its answer; others are then asked to look too
+	suspectMult = 3                      // beats, times the logarithm of the members, that a suspect has to object
+	loneMult    = 2                      // times longer that an instance waits which nobody confirms: it may be cut off itself
+	reclaimWait = time.Millisecond       // after a member's loss until its name may come back from elsewhere
+	gossipEvery = 100 * time.Millisecond // between packets of news
+	gossipMult  = 3                      // times the logarithm of the members that each piece of news is sent on
+	syncEvery   = 15 * time.Second       // between exchanges of all state with one member
+	streamWait  = 2 * time.Second        // for a connection among members
+	leaveWait   = 500 * time.Millisecond // for a word of leaving to get out
+	newsKept    = 4096                   // messages that wait to be sent on; the most often sent go first
+	seekEvery   = 500 * time.Millisecond // between looks for members that are missing
+	boardKept   = 60_000_000             // us for which a word is handed to members that join
+)
+
+var (
+	joined    = counters.New("members joined")
+	lost      = counters.New("members lost")
+	refusedV  = counters.New("members of another version")
+	refusedC  = counters.New("members of another cluster")
+	refusedK  = counters.New("members with a wrong key")
+	refusedF  = counters.New("members over the bounds")
+	conflicts = counters.New("members under a name taken")
+	said      = counters.New("messages to members")
+	taken     = counters.New("messages of members")
+	known     = counters.New("messages of members, known")
+	unread    = counters.New("messages of members, unread")
+	seeks     = counters.New("looks for missing members")
+)
+
+// Events are what the fleet tells; each is called on a goroutine of the library's and must not block.
+type Events struct {
+	Up       func(name string, weight float64, born uint64)
+	Down     func(name string, born uint64, left bool)
+	Words    func([]duty.Word)
+	Returned func(times int) // others saw this instance come back so often
+}
+
+// Place is where an instance stands among the others.
+type Place struct {
+	Name, Cluster     string
+	Listen, Advertise string // host:port each; Advertise may be empty
+	Join              []string
+	Keys              [][]byte // the first is the one to send with
+	Most              int      // members at most
+	Weight            float64
+}
+
+// Wrap stands between the library and the network; for tests and proofs.
+type Wrap func(memberlist.NodeAwareTransport) memberlist.NodeAwareTransport
+
+// Read takes an instance's place from the operator's file; otherwise is its name where the file gives none.
+func Read(p *sexp.Part, otherwise string) Place {
+	at := Place{Name: p.Text("name", otherwise), Cluster: p.Text("cluster", "cairntiller"),
+		Listen: p.Text("listen", ""), Advertise: p.Text("advertise", ""), Join: p.Texts("join"),
+		Most: p.Whole("members", 256, 1, 10_000), Weight: p.Number("weight", 1, 0.01, 1000)}
+	keys := p.Texts("keys")
+	file := p.Text("key-file", "")
+	if !p.Given() {
+		return at
+	}
+	if at.Name == "" || len(at.Name) > mostName {
+		p.Wrong("name", fmt.Sprintf("a name of %d bytes", len(at.Name)), fmt.Sprintf("one of 1 to %d, no other member's", mostName))
+	}
+	for name, address := range map[string]string{"listen": at.Listen, "advertise": at.Advertise} {
+		if address == "" && name == "advertise" {
+			continue
+		}
+		host, port, err := net.SplitHostPort(address)
+		if _, bad := strconv.ParseUint(port, 10, 16); err != nil || bad != nil || net.ParseIP(host) == nil {
+			p.Wrong(name, strconv.Quote(address), `an address such as "10.0.0.1:7946"`)
+		}
+	}
+	for _, one := range at.Join {
+		if _, _, err := net.SplitHostPort(one); err != nil {
+			p.Wrong("join", strconv.Quote(one), `addresses such as "10.0.0.1:7946"`)
+		}
+	}
+	if file != "" {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			p.Wrong("key-file", err.Error(), "a file with one key a line")
+		}
+		keys = append(keys, strings.Fields(string(raw))...)
+	}
+	for _, one := range keys {
+		key, err := base64.StdEncoding.DecodeString(one)
+		if err != nil || memberlist.ValidateKey(key) != nil {
+			p.Wrong("keys", fmt.Sprintf("a key of %d signs", len(one)), "16, 24 or 32 random bytes in base64")
+			continue
+		}
+		at.Keys = append(at.Keys, key)
+	}
+	if len(keys) == 0 {
+		p.Wrong("keys", "no key", "at least one, in keys or key-file: 16, 24 or 32 random bytes in base64")
+	}
+	return at
+}
+
+// Fleet is one instance's membership.
+type Fleet struct {
+	at     Place
+	events Events
+	list   *memberlist.Memberlist
+	ring   *memberlist.Keyring
+	queue  *memberlist.TransmitLimitedQueue
+	zero   time.Time
+	ready  chan struct{}
+	over   chan struct{}
+	done   sync.WaitGroup
+
+	mu     sync.Mutex
+	gate   *gate
+	seeker *seeker
+	born   uint64
+	number uint64
+	leaves bool
+	live   map[string]about   // other members
+	seen   map[string]returns // of all that were members, as many as the bound lets in
+	board  map[string]posted  // newest word of each duty
+}
+
+type posted struct {
+	word duty.Word
+	at   int64
+}
+
+// Start joins the fleet, or waits for others where nobody answers yet.
+func Start(at Place, events Events, wrap Wrap) (*Fleet, error) {
+	ring, err := memberlist.NewKeyring(at.Keys, at.Keys[0])
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{at: at, events: events, ring: ring, zero: time.Now(),
+		ready: make(chan struct{}), over: make(chan struct{}),
+		born: uint64(time.Now().UnixMicro()), live: map[string]about{}, seen: map[string]returns{}, board: map[string]posted{}}
+	f.gate, f.seeker = newGate(0, at.Cluster, at.Most), newSeeker(0, at.Join)
+	f.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: gossipMult, NumNodes: f.members}
+	host, port, _ := net.SplitHostPort(at.Listen)
+	number, _ := strconv.Atoi(port)
+	lines := log.New(heard{}, "", 0)
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Label, c.Keyring = at.Name, at.Cluster, ring
+	c.BindAddr, c.BindPort, c.AdvertisePort = host, number, number
+	if at.Advertise != "" {
+		outside, port, _ := net.SplitHostPort(at.Advertise)
+		c.AdvertiseAddr = outside
+		c.AdvertisePort, _ = strconv.Atoi(port)
+	} else if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+		c.AdvertiseAddr = host
+	}
+	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = beatEvery, beatWait, suspectMult
+	c.GossipInterval, c.RetransmitMult, c.PushPullInterval = gossipEvery, gossipMult, syncEvery
+	c.TCPTimeout, c.EnableCompression = streamWait, false
+	c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = loneMult, loneMult
+	c.DeadNodeReclaimTime = reclaimWait
+	c.Delegate, c.Events, c.Alive, c.Conflict = f, f, f, f
+	c.Logger = lines
+	net, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number, Logger: lines})
+	if err != nil {
+		return nil, err
+	}
+	if c.BindPort == 0 {
+		c.BindPort = net.GetAutoBindPort()
+		if at.Advertise == "" {
+			c.AdvertisePort = c.BindPort
+		}
+	}
+	c.Transport = net
+	if wrap != nil {
+		c.Transport = wrap(net)
+	}
+	if f.list, err = memberlist.Create(c); err != nil {
+		return nil, errors.Join(err, net.Shutdown())
+	}
+	close(f.ready)
+	f.done.Go(f.seek)
+	return f, nil
+}
+
+// Address is where the others reach this instance.
+func (f *Fleet) Address() string { return f.list.LocalNode().Address() }
+
+// members counts the instances that live, this one included.
+func (f *Fleet) members() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return 1 + len(f.live)
+}
+
+// Born is this process's number among all that had its name.
+func (f *Fleet) Born() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.born
+}
+
+func (f *Fleet) now() int64 { return time.Since(f.zero).Microseconds() }
+
+// seek looks for the first members, and again for whoever is missing.
+func (f *Fleet) seek() {
+	for {
+		f.mu.Lock()
+		ask := f.seeker.ask(f.now(), len(f.live) == 0)
+		f.mu.Unlock()
+		for _, one := range ask { // in turn: one that hangs must not keep the rest out
+			if one == f.Address() {
+				continue
+			}
+			seeks.Add()
+			if _, err := f.list.Join([]string{one}); err != nil {
+				slog.Debug("no member", "address", one, "err", err)
+			}
+		}
+		select {
+		case <-f.over:
+			return
+		case <-time.After(seekEvery):
+		}
+	}
+}
+
+// Say spreads what this instance learnt.
+func (f *Fleet) Say(words []duty.Word) {
+	f.post(words)
+	for _, one := range pack(f.at.Name, words) {
+		f.mu.Lock()
+		f.number++
+		e := envelope{Version: version, Origin: f.at.Name, Born: f.born, Number: f.number, Words: one}
+		f.gate.news(e.Origin, e.Born, e.Number) // an echo is none
+		f.mu.Unlock()
+		said.Add()
+		f.spread(e)
+	}
+}
+
+// spread queues a message; each time it is sent its age is what it is by then.
+func (f *Fleet) spread(e envelope) {
+	f.queue.QueueBroadcast(&news{f: f, e: e, at: f.now()})
+	f.queue.Prune(newsKept)
+}
+
+type news struct {
+	f  *Fleet
+	e  envelope
+	at int64
+}
+
+func (n *news) Invalidates(memberlist.Broadcast) bool { return false }
+func (n *news) UniqueBroadcast()                      {}
+func (n *news) Finished()                             {}
+func (n *news) Message() []byte {
+	e := n.e
+	e.Held += n.f.now() - n.at
+	return encode(e)
+}
+
+// post keeps the newest word of each duty for members that join.
+func (f *Fleet) post(words []duty.Word) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for _, w := range words {
+		old, ok := f.board[w.Key]
+		if !ok && len(f.board) >= mostWords {
+			continue
+		}
+		if !ok || now-w.Age >= old.at-old.word.Age {
+			f.board[w.Key] = posted{w, now}
+		}
+	}
+}
+
+// Forget drops the words of a duty that is no more.
+func (f *Fleet) Forget(key string) {
+	f.mu.Lock()
+	delete(f.board, key)
+	f.mu.Unlock()
+}
+
+// Returns notes how often a member came back, to be told to it.
+func (f *Fleet) Returns(name string, times int) {
+	f.mu.Lock()
+	one := f.seen[name]
+	one.Name, one.Times = name, times
+	f.seen[name] = one
+	f.mu.Unlock()
+}
+
+// Rekey takes other keys: the first is sent with, all are understood, those no longer named are not.
+func (f *Fleet) Rekey(keys [][]byte) error {
+	for _, one := range keys {
+		if err := f.ring.AddKey(one); err != nil {
+			return err
+		}
+	}
+	if err := f.ring.UseKey(keys[0]); err != nil {
+		return err
+	}
+	for _, old := range f.ring.GetKeys() {
+		kept := false
+		for _, one := range keys {
+			kept = kept || bytes.Equal(old, one)
+		}
+		if !kept {
+			if err := f.ring.RemoveKey(old); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// renew tells the others what this instance says of itself now.
+func (f *Fleet) renew() {
+	<-f.ready
+	if err := f.list.UpdateNode(leaveWait); err != nil {
+		slog.Debug("not told at once", "err", err)
+	}
+}
+
+// Leave tells the others that this instance goes, and ends its part.
+func (f *Fleet) Leave() {
+	close(f.over)
+	f.mu.Lock()
+	f.leaves = true
+	f.mu.Unlock()
+	f.renew()
+	if err := f.list.Leave(leaveWait); err != nil {
+		slog.Debug("left without a word", "err", err)
+	}
+	f.end()
+}
+
+// Cut ends its part without a word, as a crash does; for tests.
+func (f *Fleet) Cut() {
+	close(f.over)
+	f.end()
+}
+
+func (f *Fleet) end() {
+	if err := f.list.Shutdown(); err != nil {
+		slog.Debug("membership did not end", "err", err)
+	}
+	f.done.Wait()
+}
+
+// NodeMeta implements memberlist.Delegate.
+func (f *Fleet) NodeMeta(int) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return encode(about{Version: version, Cluster: f.at.Cluster, Born: f.born, Weight: f.at.Weight, Leaving: f.leaves})
+}
+
+// NotifyMsg implements memberlist.Delegate: a message is checked, handed on and sent further, once.
+func (f *Fleet) NotifyMsg(raw []byte) {
+	e, err := readEnvelope(raw)
+	var words []duty.Word
+	if err == nil {
+		words, err = unpack(&e)
+	}
+	if err != nil {
+		unread.Add()
+		slog.Debug("a member's message can't be read", "err", err)
+		return
+	}
+	e.Words = bytes.Clone(e.Words)
+	f.mu.Lock()
+	first := f.gate.news(e.Origin, e.Born, e.Number)
+	f.mu.Unlock()
+	if !first {
+		known.Add()
+		return
+	}
+	taken.Add()
+	f.spread(e)
+	f.post(words)
+	f.events.Words(words)
+}
+
+// GetBroadcasts implements memberlist.Delegate.
+func (f *Fleet) GetBroadcasts(overhead, limit int) [][]byte {
+	return f.queue.GetBroadcasts(overhead, limit)
+}
+
+// LocalState implements memberlist.Delegate: what a member that joins is handed.
+func (f *Fleet) LocalState(bool) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	s := state{Version: version}
+	for _, one := range f.seen {
+		s.Members = append(s.Members, one)
+	}
+	for key, p := range f.board {
+		w := p.word
+		if w.Age += now - p.at; w.Age > boardKept {
+			delete(f.board, key)
+			continue
+		}
+		s.Words = append(s.Words, word{Key: w.Key, Holder: w.Holder, Term: w.Term, Age: w.Age, Started: w.Started,
+			Silent: w.Silent, Pos: w.Pos, Lead: w.Lead, Load: w.Load})
+	}
+	return encode(s)
+}
+
+// MergeRemoteState implements memberlist.Delegate.
+func (f *Fleet) MergeRemoteState(raw []byte, _ bool) {
+	var s state
+	if len(raw) > mostState || decoding.Unmarshal(raw, &s) != nil || s.Version != version {
+		unread.Add()
+		return
+	}
+	all, err := words(s.Words, "", 0)
+	if err != nil {
+		unread.Add()
+		return
+	}
+	times := 0
+	f.mu.Lock()
+	for _, m := range s.Members {
+		if m.Name == f.at.Name {
+			times = m.Times
+			if m.Born > f.born { // a clock went back since the last start: this process is the newer one
+				f.born = m.Born + 1
+				go f.renew()
+			}
+		}
+	}
+	f.mu.Unlock()
+	f.post(all)
+	if times > 0 {
+		f.events.Returned(times)
+	}
+	f.events.Words(all)
+}
+
+// NotifyAlive implements memberlist.AliveDelegate: who may be a member.
+func (f *Fleet) NotifyAlive(n *memberlist.Node) error {
+	if n.Name == f.at.Name {
+		return nil
+	}
+	m, err := readAbout(n.Meta)
+	if err == nil {
+		f.mu.Lock()
+		err = f.gate.admit(f.now(), n.Name, m)
+		f.mu.Unlock()
+	}
+	switch err {
+	case nil:
+	case ErrVersion, ErrMeta:
+		refusedV.Add()
+	case ErrCluster:
+		refusedC.Add()
+	default:
+		refusedF.Add()
+	}
+	return err
+}
+
+// NotifyConflict implements memberlist.ConflictDelegate: two instances under one name.
+func (f *Fleet) NotifyConflict(existing, other *memberlist.Node) {
+	conflicts.Add()
+	slog.Warn("two members under one name", "name", existing.Name, "held", existing.Address(), "turned away", other.Address())
+}
+
+// NotifyJoin implements memberlist.EventDelegate.
+func (f *Fleet) NotifyJoin(n *memberlist.Node) {
+	if n.Name == f.at.Name {
+		return
+	}
+	joined.Add()
+	slog.Info("member joined", "name", n.Name, "address", n.Address())
+	f.up(n)
+}
+
+// NotifyUpdate implements memberlist.EventDelegate: a member started again before anybody missed it.
+func (f *Fleet) NotifyUpdate(n *memberlist.Node) {
+	if n.Name != f.at.Name {
+		f.up(n)
+	}
+}
+
+func (f *Fleet) up(n *memberlist.Node) {
+	m, err := readAbout(n.Meta)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	f.live[n.Name] = m
+	if one := f.seen[n.Name]; len(f.seen) < f.at.Most || one.Name != "" {
+		f.seen[n.Name] = returns{Name: n.Name, Born: max(m.Born, one.Born), Times: one.Times}
+	}
+	f.gate.stay(f.now(), n.Name)
+	f.seeker.back(n.Address())
+	f.mu.Unlock()
+	if !m.Leaving {
+		f.events.Up(n.Name, m.Weight, m.Born)
+	}
+}
+
+// NotifyLeave implements memberlist.EventDelegate.
+func (f *Fleet) NotifyLeave(n *memberlist.Node) {
+	if n.Name == f.at.Name {
+		return
+	}
+	f.mu.Lock()
+	m := f.live[n.Name]
+	delete(f.live, n.Name)
+	if !m.Leaving {
+		f.seeker.gone(f.now(), n.Address())
+	}
+	f.gate.stay(f.now(), n.Name)
+	f.mu.Unlock()
+	lost.Add()
+	slog.Info("member gone", "name", n.Name, "left", m.Leaving)
+	f.events.Down(n.Name, m.Born, m.Leaving)
+}
+
+// heard takes the library's log: what it turns away is counted, the rest is for debugging.
+type heard struct{}
+
+func (heard) Write(p []byte) (int, error) {
+	line := strings.TrimSpace(string(p))
+	switch {
+	case strings.Contains(line, "could decrypt"), strings.Contains(line, "ecrypt packet failed"),
+		strings.Contains(line, "not encrypted"), strings.Contains(line, "encryption is not configured"):
+		refusedK.Add()
+	case strings.Contains(line, "unacceptable label"):
+		refusedC.Add()
+	}
+	slog.Debug("membership", "line", line)
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,489 @@
+package fleet
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cairntiller/internal/duty"
+	"cairntiller/internal/sexp"
+	"cairntiller/internal/standin/badnet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		f.Value.Set("20261201")
+	}
+	os.Exit(m.Run())
+}
+
+// member is a fleet of one instance with what it was told.
+type member struct {
+	*Fleet
+	net     *badnet.Net
+	mu      sync.Mutex
+	up      map[string]uint64
+	left    map[string]bool
+	words   []duty.Word
+	returns int
+}
+
+func key(b byte) []byte { return bytes.Repeat([]byte{b}, 32) }
+
+func start(t *testing.T, name, cluster string, keys [][]byte, join ...string) *member {
+	t.Helper()
+	m := &member{net: badnet.New(uint64(len(name))), up: map[string]uint64{}, left: map[string]bool{}}
+	f, err := Start(Place{Name: name, Cluster: cluster, Listen: "127.0.0.1:0", Join: join, Keys: keys, Most: 64, Weight: 1},
+		Events{
+			Up: func(name string, _ float64, born uint64) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.up[name] = born
+			},
+			Down: func(name string, _ uint64, left bool) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				delete(m.up, name)
+				m.left[name] = left
+			},
+			Words: func(all []duty.Word) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.words = append(m.words, all...)
+			},
+			Returned: func(n int) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.returns = max(m.returns, n)
+			},
+		}, m.net.Wrap)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Fleet = f
+	return m
+}
+
+// cutAtEnd ends members at the end of a test, whichever still live.
+func cutAtEnd(t *testing.T, all ...*member) {
+	for _, m := range all {
+		t.Cleanup(m.Cut)
+	}
+}
+
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(12 * time.Second); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 12 s: %s", what)
+		}
+	}
+}
+
+func (m *member) sees(names ...string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.up) != len(names) {
+		return false
+	}
+	for _, one := range names {
+		if _, ok := m.up[one]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *member) heard(key string) (all []duty.Word) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range m.words {
+		if w.Key == key {
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
+func trio(t *testing.T) (a, b, c *member) {
+	t.Helper()
+	keys := [][]byte{key(1)}
+	a = start(t, "a", "kandy", keys)
+	b = start(t, "b", "kandy", keys, a.Address())
+	c = start(t, "c", "kandy", keys, a.Address())
+	eventually(t, "three members", func() bool { return a.sees("b", "c") && b.sees("a", "c") && c.sees("a", "b") })
+	return a, b, c
+}
+
+// TestWordsReachAll: once each, with an age that grows on the way.
+func TestWordsReachAll(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b, c)
+	var many []duty.Word
+	for i := range 100 {
+		many = append(many, duty.Word{Key: fmt.Sprint("probe/", i), Holder: "a", Term: 3, Age: 5_000, Started: 9, Pos: 77, Lead: -1, Load: "x0=1"})
+	}
+	a.Say(many)
+	for _, m := range []*member{b, c} {
+		eventually(t, "all words", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return len(m.words) >= 100 })
+		time.Sleep(300 * time.Millisecond) // echoes would come now
+		for i := range 100 {
+			got := m.heard(fmt.Sprint("probe/", i))
+			if len(got) != 1 || got[0].Age < 5_000 || got[0].Age > 5_000_000 {
+				t.Fatalf("word %d: %+v", i, got)
+			}
+			got[0].Age = 5_000
+			if got[0] != many[i] {
+				t.Fatalf("word %d: %+v, want %+v", i, got[0], many[i])
+			}
+		}
+	}
+	if n := len(a.heard("probe/1")); n != 0 {
+		t.Errorf("its own word came back %d times", n)
+	}
+}
+
+// TestStrangers: another cluster, key or version is turned away and counted, and the members go on undisturbed.
+func TestStrangers(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b, c)
+	wrongKey, wrongCluster := refusedK.Count(), refusedC.Count()
+	cutAtEnd(t, start(t, "x", "kandy", [][]byte{key(9)}, a.Address()), start(t, "y", "colombo", [][]byte{key(1)}, a.Address()))
+	eventually(t, "both counted", func() bool { return refusedK.Count() > wrongKey && refusedC.Count() > wrongCluster })
+	for _, m := range []about{{Version: 2, Cluster: "kandy", Weight: 1}, {Version: 1, Cluster: "colombo", Weight: 1}} {
+		a.Fleet.mu.Lock()
+		err := a.gate.admit(a.now(), "z", m)
+		a.Fleet.mu.Unlock()
+		if err == nil {
+			t.Errorf("%+v is let in", m)
+		}
+	}
+	was := unread.Count()
+	a.NotifyMsg(encode(envelope{Version: 2, Origin: "b", Number: 1, Words: []byte{0x80}}))
+	a.NotifyMsg([]byte("noise"))
+	if unread.Count() != was+2 {
+		t.Errorf("%d messages unread, want 2", unread.Count()-was)
+	}
+	b.Say([]duty.Word{{Key: "probe/s", Holder: "b", Term: 1}})
+	eventually(t, "a word among the members", func() bool { return len(a.heard("probe/s")) == 1 && len(c.heard("probe/s")) == 1 })
+	if !a.sees("b", "c") {
+		t.Error("the members changed")
+	}
+}
+
+// TestKeysChangeInService: old and new are understood during the change, and nobody is lost.
+func TestKeysChangeInService(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b, c)
+	say := 0
+	tell := func(from *member, to ...*member) {
+		t.Helper()
+		say++
+		word := fmt.Sprint("probe/", say)
+		from.Say([]duty.Word{{Key: word, Holder: "?", Term: 1}})
+		for _, m := range to {
+			eventually(t, "a word", func() bool { return len(m.heard(word)) == 1 })
+		}
+	}
+	for _, keys := range [][][]byte{{key(1), key(2)}, {key(2), key(1)}, {key(2)}} {
+		for _, m := range []*member{a, b, c} {
+			if err := m.Rekey(keys); err != nil {
+				t.Fatal(err)
+			}
+			tell(a, b, c)
+			tell(c, a, b)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if !a.sees("b", "c") || !b.sees("a", "c") || !c.sees("a", "b") {
+		t.Error("a member was lost during the change")
+	}
+	d := start(t, "d", "kandy", [][]byte{key(1)}, a.Address())
+	cutAtEnd(t, d)
+	time.Sleep(time.Second)
+	if !d.sees() {
+		t.Error("the old key still opens")
+	}
+}
+
+// TestDeathAndReturn: a crash is noticed, a return under the name is another process, and who comes back is told.
+func TestDeathAndReturn(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b)
+	address, born := c.Address(), c.Born()
+	b.Say([]duty.Word{{Key: "probe/s", Holder: "b", Term: 4, Pos: 9}})
+	c.Cut()
+	eventually(t, "its loss", func() bool { return a.sees("b") && b.sees("a") })
+	a.Returns("c", 3)
+	b.Returns("c", 3)
+	keys := [][]byte{key(1)}
+	c = start(t, "c", "kandy", keys, a.Address())
+	eventually(t, "its return", func() bool { return a.sees("b", "c") && c.sees("a", "b") })
+	a.mu.Lock()
+	again := a.up["c"]
+	a.mu.Unlock()
+	if again <= born {
+		t.Errorf("process %d after %d", again, born)
+	}
+	eventually(t, "what the others know", func() bool { return len(c.heard("probe/s")) > 0 && c.times(t) == 3 })
+	_ = address
+	c.Leave()
+	eventually(t, "a leave in order", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.left["c"] })
+	a.Fleet.mu.Lock()
+	defer a.Fleet.mu.Unlock()
+	if _, missed := a.seeker.lost[c.Address()]; missed {
+		t.Error("it is looked for though it left")
+	}
+}
+
+func (m *member) times(t *testing.T) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.returns
+}
+
+// TestClockWentBack: a process whose clock is behind the last one's still counts as the newer.
+func TestClockWentBack(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b, c)
+	a.Fleet.mu.Lock()
+	a.seen["b"] = returns{Name: "b", Born: b.Born() + 1_000_000}
+	a.Fleet.mu.Unlock()
+	b.MergeRemoteState(a.LocalState(false), false)
+	eventually(t, "a later number", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.up["b"] == b.Born() })
+}
+
+// TestPartitionAndHeal: both sides lose each other, and find each other again by themselves.
+func TestPartitionAndHeal(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b, c)
+	c.net.Cut(true, true)
+	eventually(t, "both sides apart", func() bool { return a.sees("b") && c.sees() })
+	c.net.Cut(false, false)
+	eventually(t, "the heal", func() bool { return a.sees("b", "c") && c.sees("a", "b") })
+	c.Say([]duty.Word{{Key: "probe/after", Holder: "c", Term: 1}})
+	eventually(t, "a word after it", func() bool { return len(a.heard("probe/after")) == 1 })
+}
+
+// TestBadNetwork: packets are lost, doubled and reordered; every word comes, once.
+func TestBadNetwork(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b, c)
+	for _, m := range []*member{a, b, c} {
+		m.net.Packets(0.15, 0.3, 80*time.Millisecond)
+	}
+	for i := range 50 {
+		a.Say([]duty.Word{{Key: fmt.Sprint("probe/", i), Holder: "a", Term: 1}})
+		time.Sleep(20 * time.Millisecond)
+	}
+	eventually(t, "nearly all words", func() bool {
+		n := 0
+		for i := range 50 {
+			n += len(b.heard(fmt.Sprint("probe/", i)))
+		}
+		return n >= 45
+	})
+	for i := range 50 {
+		if n := len(b.heard(fmt.Sprint("probe/", i))); n > 1 {
+			t.Errorf("word %d came %d times", i, n)
+		}
+	}
+	if dropped, of := a.net.Dropped(); dropped == 0 || dropped == of {
+		t.Errorf("%d of %d packets were lost", dropped, of)
+	}
+}
+
+// TestNameTaken: a second instance under a name is turned away; the first goes on.
+func TestNameTaken(t *testing.T) {
+	a, b, c := trio(t)
+	cutAtEnd(t, a, b, c)
+	was := conflicts.Count()
+	cutAtEnd(t, start(t, "b", "kandy", [][]byte{key(1)}, a.Address()))
+	eventually(t, "the conflict", func() bool { return conflicts.Count() > was })
+	b.Say([]duty.Word{{Key: "probe/s", Holder: "b", Term: 1}})
+	eventually(t, "a word of the first", func() bool { return len(a.heard("probe/s")) == 1 })
+}
+
+// TestFlood: new names are turned away past a burst, and those that are known always come in.
+func TestFlood(t *testing.T) {
+	g := newGate(0, "kandy", 1000)
+	ok := about{Version: version, Cluster: "kandy", Weight: 1}
+	if err := g.admit(0, "known", ok); err != nil {
+		t.Fatal(err)
+	}
+	in := 0
+	for i := range 500 {
+		if err := g.admit(int64(i), fmt.Sprint("flood", i), ok); err == nil {
+			in++
+		} else if !errors.Is(err, ErrFlood) {
+			t.Fatal(err)
+		}
+	}
+	if in != joinsKept-1 {
+		t.Errorf("%d strangers at once, want %d", in, joinsKept-1)
+	}
+	if err := g.admit(500, "known", ok); err != nil {
+		t.Error(err)
+	}
+	small := newGate(0, "kandy", 3)
+	for i := range 3 {
+		if err := small.admit(0, fmt.Sprint(i), ok); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := small.admit(0, "3", ok); !errors.Is(err, ErrMost) {
+		t.Error(err)
+	}
+	small.stay(4000e6, "0")
+	if err := small.admit(4000e6, "3", ok); err != nil {
+		t.Errorf("places of the long gone are not free: %v", err)
+	}
+	if _, kept := small.known["0"]; !kept {
+		t.Error("a live member lost its place")
+	}
+}
+
+// TestNewsModel holds the window against a plain set of all that was taken.
+func TestNewsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGate(0, "kandy", 4)
+		born, top := map[string]uint64{}, map[string]uint64{}
+		took := map[string]bool{}
+		for range rapid.IntRange(1, 300).Draw(t, "messages") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			b := rapid.Uint64Range(1, 3).Draw(t, "born")
+			n := rapid.OneOf(rapid.Uint64Range(1, 40), rapid.Uint64Range(1, 5000)).Draw(t, "number")
+			want := b >= born[name]
+			if b > born[name] {
+				born[name], top[name] = b, 0
+			}
+			id := fmt.Sprint(name, b, "/", n)
+			want = want && !took[id] && n+window > top[name]
+			if got := g.news(name, b, n); got != want {
+				t.Fatalf("%s under %d: %v, want %v", id, top[name], got, want)
+			}
+			if want {
+				took[id] = true
+				top[name] = max(top[name], n)
+			}
+		}
+	})
+}
+
+// TestSeeker: attempts grow rarer, go round all addresses, and end when nobody is missing.
+func TestSeeker(t *testing.T) {
+	s := newSeeker(0, []string{"s1", "s2", "s3", "s4"})
+	asked, attempts := map[string]int{}, 0
+	for now := int64(0); now < 120_000_000; now += 100_000 {
+		if some := s.ask(now, true); len(some) > 0 {
+			attempts++
+			for _, one := range some {
+				asked[one]++
+			}
+		}
+	}
+	if len(asked) != 4 || attempts < 12 || attempts > 22 {
+		t.Errorf("%d attempts in two minutes: %v", attempts, asked)
+	}
+	if some := s.ask(200_000_000, false); some != nil {
+		t.Errorf("nobody is missing: %v", some)
+	}
+	s.gone(201_000_000, "x")
+	if some := s.ask(202_000_001, false); !slices.Equal(some, []string{"x"}) {
+		t.Errorf("%v", some)
+	}
+	s.back("x")
+	if some := s.ask(300_000_000, false); some != nil {
+		t.Errorf("%v", some)
+	}
+	s.gone(301_000_000, "x")
+	if some := s.ask(301_000_000+addressKept+1, false); some != nil {
+		t.Errorf("it is looked for for ever: %v", some)
+	}
+}
+
+// TestPlace reads an instance's place, and every fault in one go.
+func TestPlace(t *testing.T) {
+	f, err := sexp.Read("f", []byte(`(fleet (name "r1") (cluster "kandy") (listen "127.0.0.1:7946") (join "10.0.0.1:7946")
+		(keys "AQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQE="))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := Read(f.Part("fleet"), "n0")
+	if err := f.Faults(); err != nil || at.Name != "r1" || !bytes.Equal(at.Keys[0], key(1)) || at.Most != 256 {
+		t.Errorf("%+v, %v", at, err)
+	}
+	f, _ = sexp.Read("f", []byte(`(fleet (listen "here") (join "10.0.0.1") (keys "short") (members 0))`))
+	Read(f.Part("fleet"), "")
+	err = f.Faults()
+	for _, want := range []string{"a name of 0 bytes", `found "\"here\""`, `found "\"10.0.0.1\""`, "a key of 5 signs", "a whole number from 1 to 10000"} {
+		if err == nil || !strings.Contains(err.Error(), want) && !strings.Contains(err.Error(), strings.ReplaceAll(want, `\"`, "")) {
+			t.Errorf("no %s in %v", want, err)
+		}
+	}
+	f, _ = sexp.Read("f", []byte(`(fleet (name a) (listen "127.0.0.1:1"))`))
+	Read(f.Part("fleet"), "")
+	if err := f.Faults(); err == nil || !strings.Contains(err.Error(), "no key") {
+		t.Error(err)
+	}
+	if got := Read(sexp.Empty().Part("fleet"), "n0"); got.Name != "n0" {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestPackBounds: no message is larger than a datagram takes, and all words are in.
+func TestPackBounds(t *testing.T) {
+	var all []duty.Word
+	for i := range 500 {
+		all = append(all, duty.Word{Key: fmt.Sprintf("probe/%0100d", i), Holder: "a", Load: strings.Repeat("x", i)})
+	}
+	n := 0
+	for _, one := range pack("a", all) {
+		e := envelope{Version: version, Origin: "a", Born: 1 << 60, Number: 1 << 60, Held: 1 << 40, Words: one}
+		if size := len(encode(e)); size > mostEnvelope+100 {
+			t.Fatalf("%d bytes", size)
+		}
+		back, err := readEnvelope(encode(e))
+		if err != nil {
+			t.Fatal(err)
+		}
+		words, err := unpack(&back)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n += len(words)
+	}
+	if n != 500 {
+		t.Errorf("%d words of 500", n)
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add(encode(envelope{Version: version, Origin: "a", Born: 1, Number: 1, Words: pack("a", []duty.Word{{Key: "k"}})[0]}))
+	f.Add(encode(state{Version: version, Members: []returns{{Name: "a"}}, Words: []word{{Key: "k", Age: -1}}}))
+	f.Add(encode(about{Version: version, Cluster: "kandy", Weight: 1}))
+	f.Add([]byte{0x9f, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if e, err := readEnvelope(raw); err == nil {
+			words, err := unpack(&e)
+			for _, w := range words {
+				if err != nil || w.Age < 0 || w.Pos < 0 || w.Key == "" || w.Holder == "" {
+					t.Fatalf("%+v, %v", w, err)
+				}
+			}
+		}
+		if a, err := readAbout(raw); err == nil && !(a.Weight > 0) {
+			t.Fatalf("%+v", a)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/wire.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cairntiller/internal/duty"
+)
+
+// The form of messages: CBOR arrays (RFC 8949), described in docs/duties.md. A change that others can't read takes
+// another version, and members of another version keep apart.
+const (
+	version      = 1
+	mostEnvelope = 1_000   // bytes of a message that is spread: it fits a datagram with what the library adds
+	mostState    = 4 << 20 // bytes that a joining member is handed: ten thousand nodes take about half a megabyte
+	mostWords    = 20_000  // words in it
+	mostName     = 128     // bytes of a member's or a duty's name
+	mostLoad     = 256     // bytes of a node's own figures
+)
+
+// about is what a member says of itself with its membership.
+type about struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Cluster string
+	Born    uint64
+	Weight  float64
+	Leaving bool // it goes in order: nobody looks for it
+}
+
+// envelope is one message: words of one origin. Held grows on the way by what each instance kept it.
+type envelope struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Origin  string
+	Born    uint64
+	Number  uint64
+	Held    int64 // us since the origin made it
+	Words   cbor.RawMessage
+}
+
+// word is duty.Word on the wire.
+type word struct {
+	_       struct{} `cbor:",toarray"`
+	Key     string
+	Holder  string // empty where it is the envelope's origin
+	Term    uint64
+	Age     int64 // us when the envelope was made
+	Started int64
+	Silent  bool
+	Pos     int64
+	Lead    int8
+	Load    string
+}
+
+// state is what a member hands to one that joins: what it knows of others, and the newest words.
+type state struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Members []returns
+	Words   []word
+}
+
+// returns is how often a member came back lately, and the process that was heard of last.
+type returns struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Born  uint64
+	Times int
+}
+
+var (
+	encoding = func() cbor.EncMode {
+		mode, err := cbor.CoreDetEncOptions().EncMode()
+		if err != nil {
+			panic(err)
+		}
+		return mode
+	}()
+	decoding = func() cbor.DecMode {
+		mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxArrayElements: mostWords,
+			MaxMapPairs: 16, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+		if err != nil {
+			panic(err)
+		}
+		return mode
+	}()
+)
+
+var errBounds = errors.New("a field out of bounds")
+
+func encode(v any) []byte {
+	raw, err := encoding.Marshal(v)
+	if err != nil {
+		panic(err) // these types always encode
+	}
+	return raw
+}
+
+// pack encodes words in envelopes that each fit a datagram.
+func pack(origin string, words []duty.Word) (packed [][]byte) {
+	var parts [][]byte
+	size := 0
+	flush := func() {
+		if len(parts) == 0 {
+			return
+		}
+		raw := []byte{0x99, byte(len(parts) >> 8), byte(len(parts))} // an array of so many
+		for _, one := range parts {
+			raw = append(raw, one...)
+		}
+		packed = append(packed, raw)
+		parts, size = nil, 0
+	}
+	for _, w := range words {
+		holder := w.Holder
+		if holder == origin {
+			holder = ""
+		}
+		if len(w.Load) > mostLoad {
+			w.Load = ""
+		}
+		one := encode(word{Key: w.Key, Holder: holder, Term: w.Term, Age: w.Age, Started: w.Started, Silent: w.Silent,
+			Pos: w.Pos, Lead: w.Lead, Load: w.Load})
+		if size+len(one) > mostEnvelope {
+			flush()
+		}
+		parts, size = append(parts, one), size+len(one)
+	}
+	flush()
+	return packed
+}
+
+// unpack decodes an envelope's words, all or none.
+func unpack(e *envelope) ([]duty.Word, error) {
+	var raw []word
+	if err := decoding.Unmarshal(e.Words, &raw); err != nil {
+		return nil, err
+	}
+	return words(raw, e.Origin, e.Held)
+}
+
+func words(raw []word, origin string, held int64) ([]duty.Word, error) {
+	all := make([]duty.Word, 0, len(raw))
+	for _, w := range raw {
+		if w.Key == "" || len(w.Key) > mostName || len(w.Holder) > mostName || len(w.Load) > mostLoad || w.Age < 0 ||
+			held < 0 || w.Lead < -1 || w.Lead > 1 || w.Pos < 0 {
+			return nil, errBounds
+		}
+		if w.Holder == "" {
+			w.Holder = origin
+		}
+		all = append(all, duty.Word{Key: w.Key, Holder: w.Holder, Term: w.Term, Age: w.Age + held, Started: w.Started,
+			Silent: w.Silent, Pos: w.Pos, Lead: w.Lead, Load: w.Load})
+	}
+	return all, nil
+}
+
+// readAbout decodes what a member says of itself.
+func readAbout(raw []byte) (a about, err error) {
+	if err = decoding.Unmarshal(raw, &a); err != nil {
+		return a, ErrMeta
+	}
+	if !(a.Weight > 0 && a.Weight <= 1000) {
+		return a, ErrMeta
+	}
+	return a, nil
+}
+
+// readEnvelope decodes a message, less its words.
+func readEnvelope(raw []byte) (e envelope, err error) {
+	if len(raw) > 4*mostEnvelope {
+		return e, errBounds
+	}
+	var only []cbor.RawMessage // the version is read first: a later one may have other fields
+	if err = decoding.Unmarshal(raw, &only); err != nil || len(only) == 0 {
+		return e, errBounds
+	}
+	v := 0
+	if decoding.Unmarshal(only[0], &v) != nil || v != version {
+		return e, ErrVersion
+	}
+	if err = decoding.Unmarshal(raw, &e); err != nil {
+		return e, err
+	}
+	if e.Origin == "" || len(e.Origin) > mostName || e.Held < 0 {
+		return e, errBounds
+	}
+	return e, nil
+}
+
+// Bytes is how many bytes words take on the wire, envelopes and all, before encryption; for measurements.
+func Bytes(origin string, all []duty.Word) (n int) {
+	for _, one := range pack(origin, all) {
+		n += len(encode(envelope{Version: version, Origin: origin, Born: 1 << 50, Number: 1 << 20, Held: 100_000, Words: one}))
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sexp/sexp_test.go
@@ -0,0 +1,134 @@
+package sexp
+
+import (
+	"strings"
+	"testing"
+)
+
+func read(t *testing.T, text string) *File {
+	t.Helper()
+	f, err := Read("f", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestValues(t *testing.T) {
+	f := read(t, `; all kinds
+(one (name "a \"b\"") (join x "y z") (every 250ms) (room 64MiB) (load 2.5) (most 7)
+     (inner (every 2min)))`)
+	p := f.Part("one")
+	if got := p.Text("name", ""); got != `a "b"` {
+		t.Errorf("%q", got)
+	}
+	if got := p.Texts("join"); len(got) != 2 || got[1] != "y z" {
+		t.Errorf("%q", got)
+	}
+	if got := p.Time("every", 1, 1, 1e9); got != 250_000 {
+		t.Error(got)
+	}
+	if got := p.Size("room", 1, 1, 1<<40); got != 64<<20 {
+		t.Error(got)
+	}
+	if got := p.Number("load", 1, 0, 9); got != 2.5 {
+		t.Error(got)
+	}
+	if got := p.Whole("most", 1, 0, 9); got != 7 {
+		t.Error(got)
+	}
+	if got := p.Part("inner").Time("every", 1, 1, 1e9); got != 120e6 {
+		t.Error(got)
+	}
+	if got := p.Part("absent").Time("every", 42, 1, 1e9); got != 42 || p.Part("absent").Given() {
+		t.Error(got)
+	}
+	if err := f.Faults(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestAllFaultsAtOnce: each with its place, what was found and what may stand there.
+func TestAllFaultsAtOnce(t *testing.T) {
+	f := read(t, `(duties
+  (evry 1s)
+  (every 1)
+  (load 12)
+  (load 3)
+  (most "7")
+  (name a b)
+  stray
+  (room 2h))
+(dutys)
+7`)
+	p := f.Part("duties")
+	p.Time("every", 1, 1_000, 10_000_000)
+	p.Number("load", 1, 0, 9)
+	p.Whole("most", 1, 0, 9)
+	p.Text("name", "")
+	p.Size("room", 1, 1, 1<<20)
+	err := f.Faults()
+	if err == nil {
+		t.Fatal("no fault")
+	}
+	for i, want := range []string{
+		`f:2:4: found the unknown name "evry", want "every"`,
+		`f:3:10: found "1", want a time from 1ms to 10s`,
+		`f:4:9: found "12", want a number from 0 to 9`,
+		`f:5:3: found a second "load", want one, as in line 4`,
+		`f:6:9: found the text "7", want a whole number from 0 to 9`,
+		`f:7:3: found "name" with 2 values, want one: a text`,
+		`f:8:3: found "stray", want a list such as (name value)`,
+		`f:9:9: found "2h", want a size from 1B to 1MiB`,
+		`f:10:2: found the unknown name "dutys", want "duties"`,
+		`f:11:1: found "7", want a list such as (name value)`,
+	} {
+		if lines := strings.Split(err.Error(), "\n"); i >= len(lines) || lines[i] != want {
+			t.Errorf("fault %d is %q, want %q", i, lines[min(i, len(lines)-1)], want)
+		}
+	}
+}
+
+func TestBrokenForms(t *testing.T) {
+	for text, want := range map[string]string{
+		"(a (b 1)":                      "f:1:9: found the end of the file within a list",
+		"(a 1))":                        `f:1:6: found ")"`,
+		"\n(a \"b)":                     "f:2:4: found",
+		"(a \xff)":                      "f:1:1: found bytes that are no text",
+		strings.Repeat("(", 100_000):    "f:1:33: found a list too deep",
+		strings.Repeat("(a ", 33) + ")": "f:1:97: found a list too deep",
+	} {
+		if _, err := Read("f", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%.20q: %v, want %s", text, err, want)
+		}
+	}
+	f := read(t, strings.Repeat("(a ", 31)+"1"+strings.Repeat(")", 31)+` ; (((((((((((((((((((((((((((((((((((
+(b "((((((((((((((((((((((((((((((((((((")`)
+	if f.Part("a"); f.Part("b").Given() != true {
+		t.Error("a list is missing")
+	}
+}
+
+func TestEmpty(t *testing.T) {
+	for _, f := range []*File{Empty(), read(t, ""), read(t, " ; nothing\n")} {
+		if f.Part("any").Given() || f.Faults() != nil {
+			t.Error("an empty file holds something")
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	for _, seed := range []string{"(a 1)", `(a "\x" (b 2ms))`, "(", ")", `"`, "(a\xff)", "((((((", "; \n()", "\\\"("} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		file, err := Read("f", raw)
+		if err != nil {
+			return
+		}
+		p := file.Part("a")
+		p.Text("b", "")
+		p.Time("c", 1, 1, 10)
+		file.Faults()
+	})
+}
