Sub-commands, the operator's file, and probes shared among instances in a running router

Need: the duty table and the fleet must reach the engine and the module. Change: internal/serve holds a running router, cmd/cairntiller is a command line on kong with run, check and version; internal/patrol joins table, fleet and engine; the module hears a peer's word as second-hand (Heard, Left).

--- a/cmd/cairntiller/main.go
+++ b/cmd/cairntiller/main.go
@@ -1,229 +1,114 @@
-// Command cairntiller is one router on sockets.
+// Command cairntiller is one router, and what an operator needs beside it.
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
-	"hash/crc32"
+	"io"
 	"log/slog"
-	"math"
-	"net"
 	"os"
-	"os/signal"
-	"reflect"
-	"runtime"
 	"runtime/debug"
-	"strconv"
-	"syscall"
-	"time"
-
-	"cairntiller/internal/clients"
-	"cairntiller/internal/counters"
-	"cairntiller/internal/engine"
-	"cairntiller/internal/nodelist"
-	"cairntiller/internal/nodes"
-	"cairntiller/internal/opening"
-	"cairntiller/internal/route"
-	"cairntiller/internal/stream"
+
+	"github.com/alecthomas/kong"
+
+	"cairntiller/internal/serve"
 )
 
+// The exit codes.
 const (
-	memoryShare  = 0.7                    // of the memory limit at which the collector works harder
-	spareSockets = 32                     // descriptors for the listener, the poller, discovery and the runtime
-	clientShare  = 0.6                    // of the other descriptors for clients: a command in hand takes one at each side
-	moveAway     = 500 * time.Millisecond // after SIGTERM in which clients may still come: the front moves away in 0.4 s
-	lastWait     = 300 * time.Millisecond // for clients to read their last answers
+	exitFault = 1 // it could not run, or a file has faults
+	exitUsage = 2 // the command line can't be read
 )
 
-var (
-	reloads  = counters.New("configurations read anew")
-	rejected = counters.New("configurations rejected")
-)
+// line is the command line.
+type line struct {
+	Log slog.Level `default:"info" placeholder:"LEVEL" help:"Least level of what is logged: debug, info, warn or error."`
 
-// told is what the platform tells a router.
-type told struct {
-	Name, Listen, Discovery, Seed string
-	Limits                        struct {
-		Cores    float64
-		MemoryMB float64 `json:"memory_mb"`
-		Sockets  int
-	}
-	Known    json.RawMessage
-	Settings json.RawMessage
+	Run     runLine     `cmd:"" default:"withargs" help:"Run a router. This is what happens without a command."`
+	Check   checkLine   `cmd:"" help:"Read an operator's file and name every fault in it with its place."`
+	Version versionLine `cmd:"" help:"Print the version."`
 }
 
-func main() {
-	level := slog.LevelInfo
-	flag.TextVar(&level, "log", level, "least level of what is logged")
-	flag.Parse()
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-	if err := run(); err != nil {
-		slog.Error("cannot run", "err", err)
-		os.Exit(1)
-	}
+type runLine struct {
+	File string `type:"existingfile" placeholder:"FILE" help:"The operator's file, of S-expressions; see deploy/ and docs/operate/. Without one every part has its defaults."`
 }
 
-// read takes the configuration whole or not at all.
-func read() (t told, known *nodelist.List, values opening.Values, err error) {
-	path := os.Getenv("RELAY_CONFIG")
-	raw, err := os.ReadFile(path)
-	if err == nil {
-		err = json.Unmarshal(raw, &t)
-	}
-	if err != nil {
-		return t, nil, nil, fmt.Errorf("RELAY_CONFIG %q: %w", path, err)
-	}
-	if values, err = opening.FromJSON(t.Settings); err != nil {
-		return t, nil, nil, fmt.Errorf("settings: %w", err)
-	}
-	if len(t.Known) > 0 && string(t.Known) != "null" {
-		if known, err = nodelist.Decode(t.Known); err != nil {
-			return t, nil, nil, fmt.Errorf("known: %w", err)
-		}
-	}
-	return t, known, values, nil
-}
+func (l *runLine) Run() error { return serve.Run(l.File, nil) }
 
-// reload reads the configuration again and returns it as it holds from now on, with the address of discovery
-// where that is another than the file named before. All else takes a new start, which the log says.
-func reload(held told) (now told, moved string) {
-	fresh, _, _, err := read()
-	if err == nil {
-		_, _, err = net.SplitHostPort(fresh.Discovery)
-	}
-	if err != nil {
-		rejected.Add()
-		slog.Error("configuration rejected; the old one holds", "err", err)
-		return held, ""
-	}
-	reloads.Add()
-	if fresh.Discovery != held.Discovery {
-		moved = fresh.Discovery
-	}
-	slog.Info("configuration read anew", "discovery", fresh.Discovery, "moved", moved != "")
-	held.Discovery, held.Known = fresh.Discovery, fresh.Known
-	if !reflect.DeepEqual(held, fresh) {
-		slog.Warn("what changed beside the address of discovery takes a new start")
-	}
-	return held, moved
+type checkLine struct {
+	File string `arg:"" help:"The operator's file."`
 }
 
-func run() error {
-	// Before all else: a signal that nobody waits for would end the process.
-	stops, calls := make(chan os.Signal, 1), make(chan os.Signal, 8)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(calls, syscall.SIGHUP, syscall.SIGUSR1)
-	held, known, values, err := read()
-	if err != nil {
+func (l *checkLine) Run(out io.Writer) error {
+	if err := serve.Check(l.File); err != nil {
 		return err
 	}
-	t := held // the environment stands over the file, until the file changes
-	for name, at := range map[string]*string{"RELAY_NAME": &t.Name, "RELAY_LISTEN": &t.Listen,
-		"RELAY_DISCOVERY": &t.Discovery} {
-		if v := os.Getenv(name); v != "" {
-			*at = v
+	fmt.Fprintf(out, "%s: no faults\n", l.File)
+	return nil
+}
+
+type versionLine struct{}
+
+func (versionLine) Run(out io.Writer) error {
+	version := "unversioned"
+	if b, ok := debug.ReadBuildInfo(); ok {
+		for _, one := range b.Settings {
+			if one.Key == "vcs.revision" {
+				version = one.Value
+			}
 		}
+		version += " " + b.GoVersion
 	}
-	if t.Listen == "" || t.Discovery == "" {
-		return errors.New("no address to listen on, or none of discovery")
-	}
-	if t.Limits.Cores > 0 { // and one for the poller, which sits in the kernel most of the time
-		runtime.GOMAXPROCS(int(math.Ceil(t.Limits.Cores)) + 1)
-	}
-	if t.Limits.MemoryMB <= 0 {
-		t.Limits.MemoryMB = 192
-	}
-	memory := int64(t.Limits.MemoryMB * (1 << 20))
-	debug.SetMemoryLimit(int64(float64(memory) * memoryShare))
-	sockets := t.Limits.Sockets
-	if sockets <= 0 {
-		sockets = 1024
-	}
-	forClients := int(float64(sockets-spareSockets) * clientShare)
+	fmt.Fprintln(out, "cairntiller", version)
+	return nil
+}
 
-	if err := stream.Setup(slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn).Writer()); err != nil {
-		return err
-	}
-	now := engine.Clock()
-	e := engine.New(now)
-	r := route.New(seed(t.Seed), e)
-	limits := opening.Reader{Values: values}
-	connect, idle := limits.Time("limits.connectTimeout"), limits.Time("limits.connIdle")
-	names, err := values.Hand(r, connect)
-	if err = errors.Join(limits.Err, err); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	pool := nodes.New(now, e.Post, e.After, e, connect, idle, sockets-spareSockets-forClients)
-	e.Join(r, pool)
-	front := clients.New(now, e, names.Groups, names.Tenants, forClients, memory)
+const about = `One process is one router: it takes commands from clients in PostgreSQL's protocol and sends each to a node of its group, writes to the primary and reads to a replica that is proven new enough.
+
+A router is told by the file in RELAY_CONFIG, and by RELAY_NAME, RELAY_LISTEN and RELAY_DISCOVERY, what it is, where it listens and what it balances. SIGHUP reads the files again, SIGUSR1 prints the counters, SIGTERM stops it in order.
+
+Exit codes: 0 done, 1 it could not run or a file has faults, 2 the command line can't be read.`
 
-	ln, err := net.Listen("tcp", t.Listen)
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run is the whole command; it returns the exit code.
+func run(args []string, out, errs io.Writer) int {
+	var l line
+	ended := -1
+	parser, err := kong.New(&l, kong.Name("cairntiller"), kong.Description(about), kong.UsageOnError(),
+		kong.Writers(out, errs), kong.Exit(func(code int) { ended = code }), kong.BindTo(out, (*io.Writer)(nil)))
 	if err != nil {
-		return err
-	}
-	index := int64(0)
-	listed := func(l *nodelist.List) {
-		e.Post(now(), func(now int64) {
-			e.Listed(now, l)
-			front.Open()
-		})
+		panic(err) // the line above can't be made: no run of it gets this far
 	}
-	e.Post(now(), r.Start)
-	if known != nil {
-		index = known.Index
-		listed(known)
+	ctx, err := parser.Parse(args)
+	if ended >= 0 { // help was asked for
+		return ended
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go e.Run()
-	moves := make(chan string, 1)
-	go nodelist.Follow(ctx, t.Discovery, index, moves, listed)
-	served := make(chan error, 1)
-	go func() { served <- front.Serve(ln) }()
-	slog.Info("serving", "name", t.Name, "listen", t.Listen, "sockets", sockets)
-
-	for {
-		select {
-		case err := <-served:
-			return fmt.Errorf("no longer listening: %w", err)
-		case s := <-calls:
-			if s == syscall.SIGUSR1 {
-				counters.Print(os.Stderr)
-				continue
-			}
-			var moved string
-			if held, moved = reload(held); moved != "" {
-				moves <- moved
-			}
-		case <-stops:
-			slog.Info("leaving", "owed", e.Owed())
-			leave(e, front)
-			counters.Print(os.Stderr)
-			return nil
+	if err != nil {
+		fmt.Fprintln(errs, "cairntiller:", err)
+		fmt.Fprintln(errs, "cairntiller --help tells what there is.")
+		return exitUsage
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: l.Log})))
+	if err := ctx.Run(); err != nil {
+		if ctx.Command() == "run" {
+			slog.Error("cannot run", "err", err)
+		} else {
+			report(errs, err)
 		}
+		return exitFault
 	}
+	return 0
 }
 
-// leave goes on taking what still arrives while the front moves away, then ends each connection between
-// commands, and returns when nothing is owed.
-func leave(e *engine.Engine, front *clients.Front) {
-	time.Sleep(moveAway)
-	front.End()
-	for e.Owed() > 0 {
-		<-e.Idle()
-	}
-	front.Wait(lastWait)
-	e.Stop()
-	slog.Info("left")
-}
-
-// seed makes a number of the platform's word, whatever it looks like.
-func seed(word string) uint64 {
-	if n, err := strconv.ParseUint(word, 16, 64); err == nil {
-		return n
+// report prints an error, each of several on a line of its own.
+func report(errs io.Writer, err error) {
+	var many interface{ Unwrap() []error }
+	if errors.As(err, &many) {
+		for _, one := range many.Unwrap() {
+			fmt.Fprintln(errs, one)
+		}
+		return
 	}
-	return uint64(crc32.ChecksumIEEE([]byte(word)))
+	fmt.Fprintln(errs, err)
 }
--- a/cmd/cairntiller/main_test.go
+++ b/cmd/cairntiller/main_test.go
@@ -1,150 +1,61 @@
 package main
 
 import (
-	"bufio"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"net/http/httptest"
+	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
-	"time"
-
-	"cairntiller/internal/counters"
-	"cairntiller/internal/pgwire"
 )
 
-const config = `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-	"limits":{"cores":1,"memory_mb":192,"sockets":1024},
-	"settings":{"az":"a","siblings":1,"round":5,
-	"classes":[{"name":"put","effect":"unsafe","aim":400,"hardLimit":1000,"points":1}],
-	"domain":{"readLevel":["write"]},"limits":{"maxAttempts":8,"cancel":true,"connectTimeout":250,"connIdle":15000}}}`
-
-func configured(t *testing.T, text string) {
+func called(t *testing.T, args ...string) (code int, out, errs string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	t.Setenv("RELAY_CONFIG", path)
+	var o, e bytes.Buffer
+	code = run(args, &o, &e)
+	return code, o.String(), e.String()
 }
 
-// TestStartToStop: not ready before there is a list, and a SIGHUP without a usable file changes nothing; with one
-// the list comes from its discovery, whatever the environment named; on SIGTERM nothing taken is lost.
-func TestStartToStop(t *testing.T) {
-	silent, err := net.Listen("tcp", "127.0.0.1:0") // a node that never comes up
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer silent.Close()
-	speak := make(chan bool)
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-speak:
-		case <-r.Context().Done():
-			return
-		}
-		fmt.Fprintf(w, `{"index":1,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"zone":"a","type":"m",`+
-			`"group":3,"status":"active","role":"primary","since_ms":0}]}`+"\n", silent.Addr())
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	}))
-	defer discovery.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := free.Addr().String()
-	free.Close()
-	configured(t, fmt.Sprintf(config, listen, "127.0.0.1:1")) // where nobody answers
-	t.Setenv("RELAY_DISCOVERY", "127.0.0.1:1")
-	ended := make(chan error, 1)
-	go func() { ended <- run() }()
-
-	var c net.Conn
-	for c, err = net.Dial("tcp", listen); err != nil; c, err = net.Dial("tcp", listen) {
-		time.Sleep(time.Millisecond) // it is not listening yet
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	in := bufio.NewReader(c)
-	answer := func(out []byte) string { // what comes back, up to ReadyForQuery
-		t.Helper()
-		c.Write(out)
-		var all strings.Builder
-		for !strings.HasSuffix(all.String(), "Z\x00\x00\x00\x05I") {
-			b, err := in.ReadByte()
-			if err != nil {
-				t.Fatal(err)
-			}
-			all.WriteByte(b)
-		}
-		return all.String()
+func TestHelpAndUsage(t *testing.T) {
+	if code, out, _ := called(t, "--help"); code != 0 || !strings.Contains(out, "check") || !strings.Contains(out, "Exit codes") {
+		t.Errorf("%d: %s", code, out)
 	}
-	empty := pgwire.AppendQuery(nil, "")
-	if got := answer(pgwire.AppendStartup(nil, pgwire.User, pgwire.Database)); !strings.Contains(got, "server_version") {
-		t.Errorf("startup: %q", got)
+	if code, out, errs := called(t, "--nonsense"); code != exitUsage || out != "" || !strings.Contains(errs, "nonsense") {
+		t.Errorf("%d: %s, %s", code, out, errs)
 	}
-	if got := answer(empty); !strings.Contains(got, "C57P03") {
-		t.Errorf("without a list: %q", got)
+	if code, out, _ := called(t, "version"); code != 0 || !strings.HasPrefix(out, "cairntiller ") {
+		t.Errorf("%d: %s", code, out)
 	}
-	hangUp := func(text string, counted *counters.Counter) {
-		t.Helper()
-		if err := os.WriteFile(os.Getenv("RELAY_CONFIG"), []byte(text), 0o600); err != nil {
+}
+
+func TestCheck(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "file.sexp")
+	for text, want := range map[string]string{
+		"": "",
+		`(fleet (name r1) (listen "127.0.0.1:7946") (keys "AQEBAQEBAQEBAQEBAQEBAQ==")) (duties (probe (every 2s)))`: "",
+		"(duties (probe (evry 2s)) (instances 0))": `:1:17: found the unknown name "evry", want "every"`,
+		"(duties)": "duties without a fleet",
+		"(fleet":   "the end of the file within a list",
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		before := counted.Count()
-		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
-			t.Fatal(err)
+		code, out, errs := called(t, "check", path)
+		if want == "" && (code != 0 || errs != "" || !strings.Contains(out, "no faults")) {
+			t.Errorf("%q: %d, %s%s", text, code, out, errs)
 		}
-		for counted.Count() == before {
-			time.Sleep(time.Millisecond)
+		if want != "" && (code != exitFault || !strings.Contains(errs, want)) {
+			t.Errorf("%q: %d, %s, want %s", text, code, errs, want)
 		}
 	}
-	hangUp("{", rejected)
-	hangUp(fmt.Sprintf(config, listen, "nowhere"), rejected)
-	if got := answer(empty); !strings.Contains(got, "C57P03") {
-		t.Errorf("after a configuration that can't be used: %q", got)
-	}
-	hangUp(fmt.Sprintf(config, listen, strings.TrimPrefix(discovery.URL, "http://")), reloads)
-	close(speak)
-	for answer(empty)[0] != 'I' {
-	}
-	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	if got := answer(pgwire.AppendQuery(nil, "/* id=1,c=put,d=900,cluster=3 */ INSERT")); !strings.Contains(got, "C53300") {
-		t.Errorf("a command that came while it leaves, and never ran: %q", got)
-	}
-	if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
-		t.Errorf("at the end: %q, %v", rest, err)
-	}
-	c.Close()
-	if err := <-ended; err != nil {
-		t.Error(err)
+	if code, _, errs := called(t, "check", path+".none"); code != exitFault || errs == "" {
+		t.Errorf("%d, %s", code, errs)
 	}
 }
 
-func TestUnreadableConfigurationStopsBeforeListening(t *testing.T) {
-	for text, want := range map[string]string{
-		"": "RELAY_CONFIG", "{": "RELAY_CONFIG", `{"settings":{}}`: "no address",
-		fmt.Sprintf(config, "127.0.0.1:0", "d")[:40] + "}":                                       "RELAY_CONFIG",
-		`{"listen":"127.0.0.1:0","discovery":"d","settings":7}`:                                  "settings",
-		`{"listen":"127.0.0.1:0","discovery":"d","settings":{"round":"soon"}}`:                   "round",
-		`{"listen":"127.0.0.1:0","discovery":"d","settings":{},"known":{"endpoints":[]}}`:        "known",
-		`{"listen":"nowhere at all","discovery":"d","settings":{"limits":{"connIdle":"15000"}}}`: "nowhere",
-	} {
-		configured(t, text)
-		if err := run(); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%q: %v, want %s", text, err, want)
-		}
-	}
+// TestRunWithoutConfiguration: without a command it runs a router, which says what it lacks.
+func TestRunWithoutConfiguration(t *testing.T) {
 	t.Setenv("RELAY_CONFIG", "/nowhere")
-	if err := run(); err == nil {
-		t.Error("it runs without a configuration")
+	if code, _, errs := called(t); code != exitFault || !strings.Contains(errs, "RELAY_CONFIG") {
+		t.Errorf("%d, %s", code, errs)
 	}
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -680,3 +680,13 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// Left tells whether another instance runs a duty and is heard of in time, so that nobody else need look there.
+func (t *Table) Left(now int64, key string) bool {
+	d, known := t.duty.index[key]
+	if !known || !t.duty.heard[d] {
+		return false
+	}
+	h := t.duty.holder[d]
+	return h >= 0 && h != int32(t.self) && t.member.usable[h] && now-t.duty.freshAt[d] < t.patience()
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,11 +50,21 @@
 	return func() int64 { return zero + time.Since(start).Microseconds() }
 }
 
+// Patrol shares periodic probes with other instances; its calls come on the engine's goroutine.
+type Patrol interface {
+	// Node is one entry of a list, and Listed its end; a whole one names all nodes that there are.
+	Node(now int64, name string, state route.State, started int64)
+	Listed(now int64, whole bool)
+	// Probed is the end of a probe, whoever asked for it: the position and role that the node told.
+	Probed(now int64, node string, o route.Outcome, pos int64, lead int8, load string)
+}
+
 // Engine runs one router's decisions.
 type Engine struct {
 	now    func() int64
 	router *route.Router
 	nodes  exchange.Nodes
+	patrol Patrol // nil for none
 	table  map[string]*exchange.Exchange
 	clock  int64 // time of the event being handled
 	timers timers
@@ -95,6 +105,9 @@
 // Join sets the module that decides and the nodes that carry.
 func (e *Engine) Join(r *route.Router, nodes exchange.Nodes) { e.router, e.nodes = r, nodes }
 
+// Share lets probes be shared with other instances; it is called before Run.
+func (e *Engine) Share(p Patrol) { e.patrol = p }
+
 // Post hands an event to the engine's goroutine; it never blocks.
 func (e *Engine) Post(at int64, do func(now int64)) {
 	e.mu.Lock()
@@ -258,14 +271,29 @@
 
 // Probed implements exchange.Ender.
 func (e *Engine) Probed(now int64, node string, took int64, o route.Outcome, load string) {
-	e.report(now, node, load)
+	pos, lead := e.report(now, node, load)
 	e.router.Probed(now, node, took, o)
+	if e.patrol != nil {
+		e.patrol.Probed(now, node, o, pos, lead, load)
+	}
+}
+
+// Heard hands the module what a peer learnt of a node; a position that can't be true is left out.
+func (e *Engine) Heard(now int64, node string, at, pos int64, lead int8, silent, alive bool) {
+	if !passed(now, pos) {
+		pos = 0
+	}
+	e.router.Heard(now, node, at, pos, lead, silent, alive)
 }
 
-// report passes on the figures that a node tells of itself, all or none: positions are Unix seconds on sockets.
-func (e *Engine) report(now int64, node, load string) {
+// Left tells the module whether a peer looks after a node.
+func (e *Engine) Left(node string, to bool) { e.router.Left(node, to) }
+
+// report passes on the figures that a node tells of itself, all or none: positions are Unix seconds on sockets. It
+// returns the position and whether the node leads, as far as they were told.
+func (e *Engine) report(now int64, node, load string) (told int64, role int8) {
 	if load == "" {
-		return
+		return 0, 0
 	}
 	var pos, lead int64
 	for one := range strings.SplitSeq(load, ",") {
@@ -273,7 +301,7 @@
 		figure, err := decimal.Scaled(value, 6)
 		if err != nil {
 			untrue.Add()
-			return
+			return 0, 0
 		}
 		switch name {
 		case "x0":
@@ -283,14 +311,19 @@
 		}
 	}
 	if !passed(now, pos) {
-		return
+		return 0, 0
 	}
 	if pos > 0 {
 		e.router.ReportedPosition(now, node, pos)
 	}
 	if lead > 0 {
-		e.router.ReportedRole(now, node, lead > 500_000)
+		role = -1
+		if lead > 500_000 {
+			role = 1
+		}
+		e.router.ReportedRole(now, node, role > 0)
 	}
+	return pos, role
 }
 
 // passed tells whether a position can be true: none is later than the clock that all machines read.
@@ -313,8 +346,14 @@
 			e.nodes.Place(n.Name, n.Address)
 		}
 		e.router.ListNode(now, n.Name, n.Zone, n.Kind, n.Shard, n.State, n.Primary, n.Started)
+		if e.patrol != nil {
+			e.patrol.Node(now, n.Name, n.State, n.Started)
+		}
 	}
 	e.router.ListEnds(now)
+	if e.patrol != nil {
+		e.patrol.Listed(now, l.Whole)
+	}
 }
 
 // Dispatch implements route.Actions.
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -80,6 +80,9 @@
 
 func (v Values) on(key string) bool { return v[key] == "true" || v[key] == "1" }
 
+// Probes tells whether nodes may be probed.
+func (v Values) Probes() bool { return v.on("limits.probes") }
+
 // List is a list of plain values.
 func (v Values) List(key string) []string {
 	if v[key] == "" || v[key] == "-" {
@@ -176,7 +179,7 @@
 	r.Dispatches(n.Num("limits.maxAttempts"), v.on("limits.cancel"), v.on("limits.secondCopies"))
 	fields := v.List("report.fields")
 	reports := func(name string) bool { return v["report.how"] != "none" && slices.Contains(fields, name) }
-	r.Probes(v.on("limits.probes"), reports("x0"), reports("x1"))
+	r.Probes(v.Probes(), reports("x0"), reports("x1"))
 	r.Tokens(v["domain.writeMarks"] == "carried")
 	r.ColdStart(n.Time("rules.cold"), n.Float("rules.coldFrom"), n.Float("rules.fallMultiple"))
 	r.Drains(v.on("rules.droppedStayOpen"))
--- /dev/null
+++ b/internal/patrol/patrol.go
@@ -0,0 +1,199 @@
+// Package patrol joins a router with the others that probe the same nodes: it carries what duty.Table decides to the
+// engine and what the nodes told to the fleet, and the other way round. It decides nothing. All of it runs on the
+// engine's goroutine; the fleet's calls are posted there.
+package patrol
+
+import (
+	"log/slog"
+	"strings"
+
+	"cairntiller/internal/counters"
+	"cairntiller/internal/duty"
+	"cairntiller/internal/fleet"
+	"cairntiller/internal/route"
+	"cairntiller/internal/sexp"
+)
+
+const (
+	tickEvery = 100_000 // us between looks at what is due: a tenth of a usual interval
+	sayEvery  = 2       // ticks between messages: words of one message share what it costs
+	probing   = "probe/"
+)
+
+var (
+	shared  = counters.New("duties run")
+	checked = counters.New("second opinions")
+	words   = counters.New("words heard")
+	used    = counters.New("words used")
+	claims  = counters.New("duties taken over")
+)
+
+// Engine is what the patrol needs of the router's engine.
+type Engine interface {
+	Post(at int64, do func(now int64))
+	After(in int64, do func(now int64))
+	Heard(now int64, node string, at, pos int64, lead int8, silent, alive bool)
+	Left(node string, to bool)
+	Probe(node string)
+}
+
+// Pace is how duties are divided: the times in us, and the bounds.
+type Pace struct {
+	Given    bool
+	Every    int64   // between probes of one node by all instances together
+	Size     int     // instances that the operator runs
+	BoxLoad  float64 // probes of one node a second, by all instances, whatever they know of one another
+	TakeOver float64 // duties a second that one instance takes over
+}
+
+// Read takes the pace from the operator's file.
+func Read(p *sexp.Part) Pace {
+	probe := p.Part("probe")
+	return Pace{Given: p.Given(), Every: probe.Time("every", 1_000_000, 100_000, 60_000_000),
+		Size: p.Whole("instances", 1, 1, 10_000), BoxLoad: p.Number("box-load", 4, 0.1, 1000),
+		TakeOver: p.Number("take-over", 50, 1, 100_000)}
+}
+
+// Patrol is one instance's part in the shared duties.
+type Patrol struct {
+	now    func() int64
+	engine Engine
+	fleet  *fleet.Fleet
+	table  *duty.Table
+	asked  map[string]bool // nodes that are being probed on duty; true for a second opinion
+	listed map[string]bool // nodes of the whole list that is being read
+	left   map[string]bool // nodes on duty; true for those that another instance looks after
+	runs   []duty.Run
+	said   []duty.Word
+	ticks  int
+	taken  int64
+}
+
+// Start joins the fleet and begins to share. It is called before the engine runs.
+func Start(now func() int64, engine Engine, at fleet.Place, pace Pace, wrap fleet.Wrap) (*Patrol, error) {
+	p := &Patrol{now: now, engine: engine, asked: map[string]bool{}, listed: map[string]bool{}, left: map[string]bool{}}
+	on := func(do func(now int64)) { engine.Post(now(), do) } // none is handled before the engine runs
+	f, err := fleet.Start(at, fleet.Events{
+		Up: func(name string, weight float64, born uint64) {
+			on(func(now int64) {
+				p.table.Up(now, name, weight, born)
+				p.fleet.Returns(name, p.table.Returns(name))
+			})
+		},
+		Down: func(name string, born uint64, left bool) {
+			on(func(now int64) { p.table.Down(now, name, born, left) })
+		},
+		Words:    func(all []duty.Word) { on(func(now int64) { p.hear(now, all) }) },
+		Returned: func(times int) { on(func(now int64) { p.table.Returned(now, times) }) },
+	}, wrap)
+	if err != nil {
+		return nil, err
+	}
+	p.fleet = f
+	p.table = duty.New(now(), at.Name, at.Weight, f.Born(), pace.Every, pace.Size, pace.BoxLoad, pace.TakeOver)
+	engine.After(tickEvery, p.tick)
+	slog.Info("sharing probes", "name", at.Name, "cluster", at.Cluster, "address", f.Address(), "born", f.Born())
+	return p, nil
+}
+
+// Leave ends this instance's part in order. It blocks, and is not for the engine's goroutine.
+func (p *Patrol) Leave() { p.fleet.Leave() }
+
+// Rekey takes other keys.
+func (p *Patrol) Rekey(keys [][]byte) error { return p.fleet.Rekey(keys) }
+
+// Node implements engine.Patrol: a node that left the list, or drained and is gone, is nobody's duty.
+func (p *Patrol) Node(now int64, name string, state route.State, started int64) {
+	if state != route.Up { // what drains is left alone
+		p.drop(name)
+		return
+	}
+	p.listed[name] = true
+	if _, known := p.left[name]; !known {
+		p.left[name] = false
+	}
+	p.table.Add(now, probing+name, started)
+}
+
+// Listed implements engine.Patrol.
+func (p *Patrol) Listed(_ int64, whole bool) {
+	if whole {
+		for name := range p.left {
+			if !p.listed[name] {
+				p.drop(name)
+			}
+		}
+	}
+	clear(p.listed)
+}
+
+func (p *Patrol) drop(name string) {
+	p.table.Drop(probing + name)
+	p.fleet.Forget(probing + name)
+	delete(p.left, name)
+}
+
+// tick runs what is due and spreads what was learnt.
+func (p *Patrol) tick(now int64) {
+	p.runs = p.table.Tick(now, p.runs)
+	for _, one := range p.runs {
+		name := strings.TrimPrefix(one.Key, probing)
+		if _, out := p.asked[name]; out {
+			continue // the last probe has not ended
+		}
+		shared.Add()
+		if one.Check {
+			checked.Add()
+		}
+		p.asked[name] = one.Check
+		p.engine.Probe(name)
+	}
+	if p.ticks++; p.ticks%sayEvery == 0 {
+		if len(p.said) > 0 {
+			p.fleet.Say(p.said)
+			p.said = nil
+		}
+		p.mind(now)
+	}
+	p.engine.After(tickEvery, p.tick)
+}
+
+// mind tells the module which nodes another instance looks after.
+func (p *Patrol) mind(now int64) {
+	for name, was := range p.left {
+		if left := p.table.Left(now, probing+name); left != was {
+			p.left[name] = left
+			p.engine.Left(name, left)
+		}
+	}
+	if taken, _, live, slow := p.table.Figures(now); taken != p.taken {
+		for range taken - p.taken {
+			claims.Add()
+		}
+		slog.Debug("duties", "held", p.table.Holds(), "members", live, "slow", slow, "every", p.table.Every())
+		p.taken = taken
+	}
+}
+
+// Probed implements engine.Patrol.
+func (p *Patrol) Probed(now int64, node string, o route.Outcome, pos int64, lead int8, load string) {
+	check, ours := p.asked[node]
+	if !ours {
+		return
+	}
+	delete(p.asked, node)
+	p.said = append(p.said, p.table.Done(now, duty.Word{Key: probing + node, Silent: o != route.Answered, Pos: pos,
+		Lead: lead, Load: load}, check))
+}
+
+// hear passes on what others learnt, as far as it counts.
+func (p *Patrol) hear(now int64, all []duty.Word) {
+	for _, w := range all {
+		words.Add()
+		u := p.table.Hear(now, w)
+		if u.Pos > 0 || u.Lead != 0 || u.Silent || u.Alive {
+			used.Add()
+			p.engine.Heard(now, strings.TrimPrefix(w.Key, probing), u.At, u.Pos, u.Lead, u.Silent, u.Alive)
+		}
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -153,6 +153,45 @@
 	}
 }
 
+// Heard is what a peer learnt of a node at a time: a position, whether it leads (1, -1, 0 for not known), and
+// whether it was silent or alive. A position stays true of the process that told it; the caller passes on no
+// other's. A role is a hint, and none where an answer spoke of it since. Silence only puts the node behind
+// others; what makes this router hold it silent, or trust it again, is what it sees itself.
+func (r *Router) Heard(now int64, id string, at, pos int64, lead int8, silent, alive bool) {
+	s := &r.node
+	n, known := s.index[id]
+	if !known {
+		return
+	}
+	if at > s.posAt[n] {
+		r.proven(n, pos, at)
+	} else {
+		s.pos[n] = max(s.pos[n], pos)
+	}
+	if p := &r.shard.primary[s.shard[n]]; at > s.roleAt[n] && lead > 0 {
+		r.hint(n, now)
+	} else if at > s.roleAt[n] && lead < 0 && *p == n && now-s.roleAt[n] > listDoubt {
+		*p = -1
+	}
+	switch {
+	case silent:
+		s.quietAt[n] = max(s.quietAt[n], at)
+	case alive && at > s.quietAt[n]:
+		s.quietAt[n] = 0
+		if s.suspect[n] && now-s.probedAt[n] > rejoinGap { // a peer reaches it: this router may as well by now
+			r.probe(n, now, extraSpare)
+		}
+	}
+	r.pump(s.shard[n], now)
+}
+
+// Left tells whether a peer looks after a node that is silent or lags, so that this router need not.
+func (r *Router) Left(id string, to bool) {
+	if n, known := r.node.index[id]; known {
+		r.node.left[n] = to
+	}
+}
+
 // ReportedRole is a role from a node's report. It proves a primary only where no answer spoke of the role.
 func (r *Router) ReportedRole(now int64, id string, lead bool) {
 	n, known := r.node.index[id]
@@ -540,6 +579,9 @@
 		if s.zone[n] != r.zone {
 			v *= zoneSlack
 		}
+		if s.quietAt[n] > s.answered[n] { // a peer alone had no answer: only where the rest has no room
+			v *= lagSlack
+		}
 		if s.lag[n] > rotationLag { // out of rotation: only where that has no room
 			v *= lagSlack
 		}
@@ -784,7 +826,7 @@
 			}
 		}
 	}
-	if (s.suspect[n] || s.lag[n] > rotationLag && r.probePos) && now-s.probedAt[n] > rejoinGap {
+	if (s.suspect[n] || s.lag[n] > rotationLag && r.probePos) && now-s.probedAt[n] > rejoinGap && !s.left[n] {
 		r.probe(n, now, extraSpare)
 	}
 }
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -99,6 +99,8 @@
 	warmRate []float64 // the same as it mostly was while the node was warm
 	credit   []float64 // work a cold node may still be sent
 	creditAt []int64
+	quietAt  []int64 // when a peer last had no answer of it, 0 for none since it had one
+	left     []bool  // a peer looks after it while it is silent or lags
 	goneAt   []int64 // when it left the list, 0 for not, -1 for an index that stands for no node
 	free     []int   // such indexes
 }
@@ -149,6 +151,8 @@
 	put(&s.warmRate, n, 0)
 	put(&s.credit, n, 0)
 	put(&s.creditAt, n, 0)
+	put(&s.quietAt, n, 0)
+	put(&s.left, n, false)
 	put(&s.goneAt, n, 0)
 	return n
 }
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,288 @@
+// Package serve holds one running router: what the platform and the operator's file tell it, its parts, and how it
+// starts, reads its configuration again and leaves.
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"cairntiller/internal/clients"
+	"cairntiller/internal/counters"
+	"cairntiller/internal/engine"
+	"cairntiller/internal/fleet"
+	"cairntiller/internal/nodelist"
+	"cairntiller/internal/nodes"
+	"cairntiller/internal/opening"
+	"cairntiller/internal/patrol"
+	"cairntiller/internal/route"
+	"cairntiller/internal/sexp"
+	"cairntiller/internal/stream"
+)
+
+const (
+	memoryShare  = 0.7                    // of the memory limit at which the collector works harder
+	spareSockets = 32                     // descriptors for the listener, the poller, discovery and the runtime
+	clientShare  = 0.6                    // of the other descriptors for clients: a command in hand takes one at each side
+	moveAway     = 500 * time.Millisecond // after SIGTERM in which clients may still come: the front moves away in 0.4 s
+	lastWait     = 300 * time.Millisecond // for clients to read their last answers
+)
+
+var (
+	reloads  = counters.New("configurations read anew")
+	rejected = counters.New("configurations rejected")
+)
+
+// told is what the platform tells a router.
+type told struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        struct {
+		Cores    float64
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+// read takes the configuration whole or not at all.
+func read() (t told, known *nodelist.List, values opening.Values, err error) {
+	path := os.Getenv("RELAY_CONFIG")
+	raw, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(raw, &t)
+	}
+	if err != nil {
+		return t, nil, nil, fmt.Errorf("RELAY_CONFIG %q: %w", path, err)
+	}
+	if values, err = opening.FromJSON(t.Settings); err != nil {
+		return t, nil, nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(t.Known) > 0 && string(t.Known) != "null" {
+		if known, err = nodelist.Decode(t.Known); err != nil {
+			return t, nil, nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return t, known, values, nil
+}
+
+// reload reads the configuration again and returns it as it holds from now on, with the address of discovery
+// where that is another than the file named before. All else takes a new start, which the log says.
+func reload(held told) (now told, moved string) {
+	fresh, _, _, err := read()
+	if err == nil {
+		_, _, err = net.SplitHostPort(fresh.Discovery)
+	}
+	if err != nil {
+		rejected.Add()
+		slog.Error("configuration rejected; the old one holds", "err", err)
+		return held, ""
+	}
+	reloads.Add()
+	if fresh.Discovery != held.Discovery {
+		moved = fresh.Discovery
+	}
+	slog.Info("configuration read anew", "discovery", fresh.Discovery, "moved", moved != "")
+	held.Discovery, held.Known = fresh.Discovery, fresh.Known
+	if !reflect.DeepEqual(held, fresh) {
+		slog.Warn("what changed beside the address of discovery takes a new start")
+	}
+	return held, moved
+}
+
+// Check reads the operator's file as a start would, for a router whose own name is not known; the error holds every
+// fault.
+func Check(path string) error {
+	_, _, err := parts(path, "n0")
+	return err
+}
+
+// parts reads the operator's file, "" for none.
+func parts(path, name string) (at fleet.Place, pace patrol.Pace, err error) {
+	file := sexp.Empty()
+	if path != "" {
+		if file, err = sexp.ReadFile(path); err != nil {
+			return at, pace, err
+		}
+	}
+	own, duties := file.Part("fleet"), file.Part("duties")
+	at, pace = fleet.Read(own, name), patrol.Read(duties)
+	if pace.Given && !own.Given() {
+		duties.Wrong("", "duties without a fleet", "a part fleet, which says who shares them")
+	}
+	return at, pace, file.Faults()
+}
+
+// Run runs a router until a stop, with the operator's file, "" for none. wrap may stand before the network among
+// instances.
+func Run(path string, wrap fleet.Wrap) error {
+	// Before all else: a signal that nobody waits for would end the process.
+	stops, calls := make(chan os.Signal, 1), make(chan os.Signal, 8)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(calls, syscall.SIGHUP, syscall.SIGUSR1)
+	held, known, values, err := read()
+	if err != nil {
+		return err
+	}
+	t := held // the environment stands over the file, until the file changes
+	for name, at := range map[string]*string{"RELAY_NAME": &t.Name, "RELAY_LISTEN": &t.Listen,
+		"RELAY_DISCOVERY": &t.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*at = v
+		}
+	}
+	if t.Listen == "" || t.Discovery == "" {
+		return errors.New("no address to listen on, or none of discovery")
+	}
+	place, pace, err := parts(path, t.Name)
+	if err != nil {
+		return err
+	}
+	if t.Limits.Cores > 0 { // and one for the poller, which sits in the kernel most of the time
+		runtime.GOMAXPROCS(int(math.Ceil(t.Limits.Cores)) + 1)
+	}
+	if t.Limits.MemoryMB <= 0 {
+		t.Limits.MemoryMB = 192
+	}
+	memory := int64(t.Limits.MemoryMB * (1 << 20))
+	debug.SetMemoryLimit(int64(float64(memory) * memoryShare))
+	sockets := t.Limits.Sockets
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	forClients := int(float64(sockets-spareSockets) * clientShare)
+
+	if err := stream.Setup(slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn).Writer()); err != nil {
+		return err
+	}
+	now := engine.Clock()
+	e := engine.New(now)
+	r := route.New(seed(t.Seed), e)
+	limits := opening.Reader{Values: values}
+	connect, idle := limits.Time("limits.connectTimeout"), limits.Time("limits.connIdle")
+	names, err := values.Hand(r, connect)
+	if err = errors.Join(limits.Err, err); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	pool := nodes.New(now, e.Post, e.After, e, connect, idle, sockets-spareSockets-forClients)
+	e.Join(r, pool)
+	var shares *patrol.Patrol
+	if pace.Given && !values.Probes() {
+		slog.Warn("the settings allow no probes, so none are shared")
+	} else if pace.Given {
+		if shares, err = patrol.Start(now, e, place, pace, wrap); err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+		e.Share(shares)
+	}
+	front := clients.New(now, e, names.Groups, names.Tenants, forClients, memory)
+
+	ln, err := net.Listen("tcp", t.Listen)
+	if err != nil {
+		return err
+	}
+	index := int64(0)
+	listed := func(l *nodelist.List) {
+		e.Post(now(), func(now int64) {
+			e.Listed(now, l)
+			front.Open()
+		})
+	}
+	e.Post(now(), r.Start)
+	if known != nil {
+		index = known.Index
+		listed(known)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.Run()
+	moves := make(chan string, 1)
+	go nodelist.Follow(ctx, t.Discovery, index, moves, listed)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(ln) }()
+	slog.Info("serving", "name", t.Name, "listen", t.Listen, "sockets", sockets)
+
+	for {
+		select {
+		case err := <-served:
+			return fmt.Errorf("no longer listening: %w", err)
+		case s := <-calls:
+			if s == syscall.SIGUSR1 {
+				counters.Print(os.Stderr)
+				continue
+			}
+			var moved string
+			if held, moved = reload(held); moved != "" {
+				moves <- moved
+			}
+			place, pace = rekey(path, t.Name, place, pace, shares)
+		case <-stops:
+			slog.Info("leaving", "owed", e.Owed())
+			if shares != nil {
+				go shares.Leave() // the others take over while it answers what it owes
+			}
+			leave(e, front)
+			counters.Print(os.Stderr)
+			return nil
+		}
+	}
+}
+
+// rekey reads the operator's file again: the keys change in service, all else takes a new start.
+func rekey(path, name string, place fleet.Place, pace patrol.Pace, shares *patrol.Patrol) (fleet.Place, patrol.Pace) {
+	if path == "" {
+		return place, pace
+	}
+	fresh, again, err := parts(path, name)
+	if err != nil {
+		rejected.Add()
+		slog.Error("operator's file rejected; the old one holds", "err", err)
+		return place, pace
+	}
+	if shares != nil && !reflect.DeepEqual(fresh.Keys, place.Keys) {
+		if err := shares.Rekey(fresh.Keys); err != nil {
+			slog.Error("keys not changed", "err", err)
+			return place, pace
+		}
+		slog.Info("keys changed", "keys", len(fresh.Keys))
+	}
+	place.Keys = fresh.Keys
+	if !reflect.DeepEqual(fresh, place) || again != pace {
+		slog.Warn("what changed in the operator's file beside the keys takes a new start")
+	}
+	return place, pace
+}
+
+// leave goes on taking what still arrives while the front moves away, then ends each connection between
+// commands, and returns when nothing is owed.
+func leave(e *engine.Engine, front *clients.Front) {
+	time.Sleep(moveAway)
+	front.End()
+	for e.Owed() > 0 {
+		<-e.Idle()
+	}
+	front.Wait(lastWait)
+	e.Stop()
+	slog.Info("left")
+}
+
+// seed makes a number of the platform's word, whatever it looks like.
+func seed(word string) uint64 {
+	if n, err := strconv.ParseUint(word, 16, 64); err == nil {
+		return n
+	}
+	return uint64(crc32.ChecksumIEEE([]byte(word)))
+}
