Start a plain router without the command line's libraries

Need: a router that shares nothing should not carry the new libraries in memory. Change: no arguments skip the command line; the file's parser is made on first use.

--- a/cmd/cairntiller/main.go
+++ b/cmd/cairntiller/main.go
@@ -33,8 +33,6 @@
 	File string `type:"existingfile" placeholder:"FILE" help:"The operator's file, of S-expressions; see deploy/ and docs/operate/. Without one every part has its defaults."`
 }
 
-func (l *runLine) Run() error { return serve.Run(l.File, nil) }
-
 type checkLine struct {
 	File string `arg:"" help:"The operator's file."`
 }
@@ -73,6 +71,9 @@
 
 // run is the whole command; it returns the exit code.
 func run(args []string, out, errs io.Writer) int {
+	if len(args) == 0 { // as platforms start it: nothing of the command line need be in memory
+		return start(errs, &runLine{}, slog.LevelInfo)
+	}
 	var l line
 	ended := -1
 	parser, err := kong.New(&l, kong.Name("cairntiller"), kong.Description(about), kong.UsageOnError(),
@@ -89,13 +90,26 @@
 		fmt.Fprintln(errs, "cairntiller --help tells what there is.")
 		return exitUsage
 	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: l.Log})))
+	if ctx.Command() == "run" {
+		return start(errs, &l.Run, l.Log)
+	}
+	logTo(errs, l.Log)
 	if err := ctx.Run(); err != nil {
-		if ctx.Command() == "run" {
-			slog.Error("cannot run", "err", err)
-		} else {
-			report(errs, err)
-		}
+		report(errs, err)
+		return exitFault
+	}
+	return 0
+}
+
+func logTo(errs io.Writer, level slog.Level) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
+}
+
+// start runs a router to its end.
+func start(errs io.Writer, l *runLine, level slog.Level) int {
+	logTo(errs, level)
+	if err := serve.Run(l.File, nil); err != nil {
+		slog.Error("cannot run", "err", err)
 		return exitFault
 	}
 	return 0
--- a/internal/sexp/sexp.go
+++ b/internal/sexp/sexp.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"unicode/utf8"
 
 	"github.com/agext/levenshtein"
@@ -47,17 +48,18 @@
 	Lists []*node `parser:"@@*"`
 }
 
-var parser = participle.MustBuild[root](
-	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
+// parser is made when a file is first read: a router without one has no use for it.
+var parser = sync.OnceValue(func() *participle.Parser[root] {
+	return participle.MustBuild[root](participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
 		{Name: "Comment", Pattern: `;[^\n]*`},
 		{Name: "Space", Pattern: `\s+`},
 		{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
 		{Name: "Bracket", Pattern: `[()]`},
 		{Name: "Word", Pattern: `[^\s()";]+`},
 	})),
-	participle.Elide("Comment", "Space"),
-	participle.Unquote("String"),
-)
+		participle.Elide("Comment", "Space"),
+		participle.Unquote("String"))
+})
 
 // Fault is one thing in a file that can't stand as it is.
 type Fault struct {
@@ -109,7 +111,7 @@
 	if line, column, ok := shallow(raw); !ok {
 		return nil, Fault{name, line, column, "a list too deep", fmt.Sprint(mostDepth, " within one another at most")}
 	}
-	tree, err := parser.ParseBytes(name, raw)
+	tree, err := parser().ParseBytes(name, raw)
 	if err != nil {
 		var at participle.Error
 		if errors.As(err, &at) {
