Try what a peer's word does to the module

Need: a peer's word must never stand over an answer, undo a drain or prove another process. Change: four tests and generated peer words in the module's rule model.

--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 )
 
@@ -26,7 +27,7 @@
 	for range steps {
 		any := fmt.Sprintf("g%dn%d", rnd.Intn(shards), rnd.Intn(members))
 		if rnd.Intn(256) < int(mood) {
-			switch rnd.Intn(40) {
+			switch rnd.Intn(44) {
 			case 0:
 				primary[w.shard[any]] = any
 			case 1:
@@ -53,6 +54,17 @@
 				w.list(shards, members)
 			case 7: // the router stands still
 				w.now += 700_000
+			case 8: // a peer's word: a position that was true when it was learnt, a role that may be long past
+				at := w.now - rnd.Int63n(8_000_000)
+				pos := at - 10_000 - lag[any]
+				if any == primary[w.shard[any]] {
+					pos = at
+				}
+				silent := rnd.Intn(3) == 0
+				w.tell(any, RoleUnknown, pos)
+				w.r.Heard(w.now, any, at, pos, int8(rnd.Intn(3)-1), silent, !silent)
+			case 9:
+				w.r.Left(any, rnd.Intn(2) == 0)
 			}
 		}
 		for range rnd.Intn(3) {
@@ -141,6 +153,102 @@
 	return fmt.Sprint(len(w.open), " dispatches")
 }
 
+// A peer's word on a position is a proof, whatever its age: a log never goes back.
+func TestPeersPositionProves(t *testing.T) {
+	w := group(t, 1, 2)
+	w.seen("g0n1", 0, Replica, w.now-300_000)
+	w.seen("g0n0", 0, Primary, 0)
+	w.arrive("c", gSession, 0, 1e6, 250_000)
+	w.tell("g0n1", Replica, w.cmds["c"].need)
+	w.r.Heard(w.now, "g0n1", w.now-40_000, w.cmds["c"].need, -1, false, true)
+	if sentTo(w) != "g0n1" {
+		t.Fatal("not sent to the proven replica but", sentTo(w))
+	}
+	w.r.Heard(w.now, "nobody", w.now, 7, 1, false, true)
+}
+
+// A peer's word on a role moves no belief that an answer made within the last seconds or since the word, and it
+// proves no data.
+func TestPeersRoleIsAHint(t *testing.T) {
+	w := group(t, 1, 3)
+	w.seen("g0n0", 0, Primary, 0)
+	w.r.Heard(w.now, "g0n1", w.now, 0, 1, false, true)
+	w.r.Heard(w.now, "g0n0", w.now+1, 0, -1, false, true)
+	if p := w.r.shard.primary[0]; p != 0 {
+		t.Fatal("a peer's word stood over an answer:", p)
+	}
+	w.step(listDoubt + 1)
+	w.seen("g0n2", 0, Replica, w.now)
+	w.r.Heard(w.now, "g0n2", w.now-1_000_000, 0, 1, false, true)
+	if p := w.r.shard.primary[0]; p != 0 {
+		t.Fatal("a word from before an answer counted:", p)
+	}
+	w.r.Heard(w.now, "g0n1", w.now-1_000_000, 0, 1, false, true)
+	if p := w.r.shard.primary[0]; p != 1 {
+		t.Fatal("nothing was heard for long, and the hint was passed over:", p)
+	}
+	w.arrive("c", gFresh, 0, 1e6, 0)
+	if len(w.open) != 0 {
+		t.Fatal("fresh data was taken from a node that only a peer calls the primary")
+	}
+	w.r.Heard(w.now, "g0n1", w.now, 0, -1, false, true)
+	if p := w.r.shard.primary[0]; p != -1 {
+		t.Fatal("a later word did not take the hint back:", p)
+	}
+}
+
+// A node that a peer alone found silent is taken after the others, and is not held to be silent.
+func TestPeersSilenceOnlyComesLast(t *testing.T) {
+	w := group(t, 1, 3)
+	w.seen("g0n0", 0, Primary, 0)
+	w.r.Heard(w.now, "g0n1", w.now-100_000, 0, 0, true, false)
+	for i := range 4 {
+		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
+	}
+	if w.r.node.out[1] != 0 || w.r.node.out[2] != 4 {
+		t.Fatal("reads went to", w.r.node.out)
+	}
+	for i := range 8 {
+		w.arrive(fmt.Sprint("d", i), gAny, 0, 1e6, 0)
+	}
+	if w.r.node.out[1] == 0 {
+		t.Fatal("it gets nothing though the rest has no room")
+	}
+	serve(w, nil)
+	if w.arrive("e", gAny, 0, 1e6, 0); w.r.node.quietAt[1] > w.r.node.answered[1] {
+		t.Fatal("its own answer did not end it")
+	}
+}
+
+// What a peer looks after is not probed by this router too, until the peer reaches it: then this one looks for itself.
+func TestPeersLookAfterTheSilent(t *testing.T) {
+	w := group(t, 1, 3)
+	w.r.Left("g0n0", true)
+	w.r.Left("nobody", true)
+	for j := range 2 {
+		w.arrive(fmt.Sprint("c", j), gKeyed, 0, 4e6, 0)
+	}
+	for range 200 {
+		w.beats(1)
+		w.probes = deleted(w.probes, "g0n1", "g0n2")
+	}
+	if !w.r.node.suspect[0] || len(w.probes) != 0 {
+		t.Fatal("silent:", w.r.node.suspect[0], "probes:", w.probes)
+	}
+	w.r.Heard(w.now, "g0n0", w.now-100_000, 0, 0, false, true)
+	if len(w.probes) != 1 || !w.r.node.suspect[0] {
+		t.Fatal("a peer's word alone ended the silence, or was not looked into:", w.probes)
+	}
+	w.r.Probed(w.now, "g0n0", 1_000, Answered)
+	if w.r.node.suspect[0] {
+		t.Fatal("still silent after its own probe")
+	}
+}
+
+func deleted(all []string, some ...string) []string {
+	return slices.DeleteFunc(all, func(one string) bool { return slices.Contains(some, one) })
+}
+
 func TestSameEventsSameActions(t *testing.T) {
 	run := func() string {
 		w := newWorld(t, 5)
