A first useful minute: cairntiller demo before stand-in nodes that keep the truth

Need: a new user should see the router work, and proofs need nodes of the project's own. Change: internal/standin has a cluster of nodes, discovery, clients and a site that puts them together; demo kills a primary half-way.

--- a/cmd/cairntiller/main.go
+++ b/cmd/cairntiller/main.go
@@ -27,6 +27,7 @@
 	Run     runLine     `cmd:"" default:"withargs" help:"Run a router. This is what happens without a command."`
 	Check   checkLine   `cmd:"" help:"Read an operator's file and name every fault in it with its place."`
 	Version versionLine `cmd:"" help:"Print the version."`
+	Demo    demoLine    `cmd:"" help:"Show a router at work before stand-in nodes on this machine, with a primary that dies half-way."`
 }
 
 type runLine struct {
--- a/cmd/cairntiller/main_test.go
+++ b/cmd/cairntiller/main_test.go
@@ -8,6 +8,25 @@
 	"testing"
 )
 
+// TestMain lets the test's program be the router that a demo starts.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "run" {
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// TestDemo: a primary dies, its group's writes go on, and no rule is broken.
+func TestDemo(t *testing.T) {
+	code, out, errs := called(t, "demo", "--groups", "1", "--for", "4s")
+	if code != 0 || !strings.Contains(out, "is killed") || !strings.Contains(out, "none ran twice") {
+		t.Errorf("%d: %s%s", code, out, errs)
+	}
+	if code, _, _ := called(t, "demo", "--for", "1s"); code != exitFault {
+		t.Errorf("%d", code)
+	}
+}
+
 func called(t *testing.T, args ...string) (code int, out, errs string) {
 	t.Helper()
 	var o, e bytes.Buffer
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,261 @@
+// Package site puts stand-in nodes and a stand-in discovery together with router processes in front of them, all on
+// free ports of loopback, for the demo, proofs and tests.
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"cairntiller/internal/standin/client"
+	"cairntiller/internal/standin/database"
+	"cairntiller/internal/standin/discovery"
+)
+
+// The command groups of every site, by their names.
+const (
+	ReadAny = "board"
+	ReadOwn = "own"
+	Write   = "entry"
+)
+
+const (
+	grace     = 2_000_000              // us after which a draining node may get nothing new
+	work      = 2 * time.Millisecond   // that a command takes on one of a node's cores
+	cores     = 4                      // of a node
+	startWait = 10 * time.Second       // for a router to be ready
+	stopWait  = 3 * time.Second        // for a router to leave in order
+	timeout   = 900 * time.Millisecond // that clients wait
+)
+
+// Site is nodes and their discovery.
+type Site struct {
+	Cluster   *database.Cluster
+	Discovery *discovery.Server
+	Folder    string // for files; it goes with Close
+	groups    int
+	routers   []*Router
+}
+
+// New makes a site of so many groups with so many nodes each, the first of each leading.
+func New(seed uint64, groups, members int) (s *Site, err error) {
+	s = &Site{Cluster: database.New(seed, grace), groups: groups}
+	if s.Discovery, err = discovery.Start(); err != nil {
+		return nil, err
+	}
+	if s.Folder, err = os.MkdirTemp("", "site"); err != nil {
+		return nil, err
+	}
+	for g := range groups {
+		for m := range members {
+			n, err := s.Cluster.Add(fmt.Sprintf("s-%d%c", g, 'a'+m), "abc"[m%3:m%3+1], g, cores, work)
+			if err != nil {
+				return nil, errors.Join(err, s.Close())
+			}
+			s.List(n, "active")
+		}
+	}
+	return s, nil
+}
+
+// List tells discovery of a node as it is now, with a status.
+func (s *Site) List(n *database.Node, status string) {
+	role := "replica"
+	if n.Primary() {
+		role = "primary"
+	}
+	s.Discovery.Set(discovery.Entry{Name: n.Name, Address: n.Address(), Zone: n.Zone, Type: "m", Group: n.Group,
+		Status: status, Role: role, Weight: 1, Since: float64(n.Started()) / 1000})
+}
+
+// Node is a node by name; nil for none.
+func (s *Site) Node(name string) *database.Node {
+	for _, n := range s.Cluster.Nodes() {
+		if n.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// Close ends routers and nodes, and removes the folder.
+func (s *Site) Close() error {
+	for _, r := range s.routers {
+		r.Kill()
+	}
+	s.Cluster.Close()
+	s.Discovery.Close()
+	return os.RemoveAll(s.Folder)
+}
+
+// class is one command group in a router's settings.
+type class struct {
+	Name   string  `json:"name"`
+	Effect string  `json:"effect"`
+	Aim    int     `json:"aim"`
+	Limit  int     `json:"hardLimit"`
+	Points float64 `json:"points"`
+}
+
+// configuration is what the platform tells a router.
+func (s *Site) configuration(name, listen string, siblings int) ([]byte, error) {
+	type fields map[string]any
+	return json.Marshal(fields{"name": name, "listen": listen, "discovery": s.Discovery.Address(), "seed": "8c1f30d27a5be964",
+		"limits": fields{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings": fields{"az": "a", "siblings": siblings, "round": 5,
+			"classes": []class{{ReadAny, "safe", 400, 1000, 1}, {ReadOwn, "safe", 400, 1000, 1}, {Write, "unsafe", 400, 1000, 1}},
+			"domain":  fields{"readLevel": []string{"any", "session", "write"}, "oldestData": []int{0, 0, 0}, "writeMarks": "kept"},
+			"limits":  fields{"maxAttempts": 8, "cancel": true, "probes": true, "connectTimeout": 250, "connIdle": 15000},
+			"report":  fields{"how": "answers", "fields": []string{"x0", "x1", "inflight"}}}})
+}
+
+// Router is a router's process.
+type Router struct {
+	Name, Address string
+	site          *Site
+	args          []string
+	log           io.Writer
+	cmd           *exec.Cmd
+	in            io.WriteCloser
+	ended         chan struct{}
+}
+
+// Free is an address of loopback where nothing listens, for TCP and UDP.
+func Free() (string, error) {
+	for range 20 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		at := ln.Addr().String()
+		p, err := net.ListenPacket("udp", at)
+		ln.Close()
+		if err == nil {
+			return at, p.Close()
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+// Router starts this program again as a router, with arguments and the operator's file, "" for none. What it logs
+// goes to log.
+func (s *Site) Router(name string, siblings int, file string, log io.Writer, args ...string) (*Router, error) {
+	at, err := Free()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := s.configuration(name, at, siblings)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(s.Folder, name+".json"), raw, 0o600)
+	}
+	if err == nil && file != "" {
+		path := filepath.Join(s.Folder, name+".sexp")
+		args = append(args, "--file", path)
+		err = os.WriteFile(path, []byte(file), 0o600)
+	}
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{Name: name, Address: at, site: s, args: args, log: log}
+	s.routers = append(s.routers, r)
+	return r, r.Start()
+}
+
+// Start starts the process, or starts it again, and waits until it takes commands.
+func (r *Router) Start() error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	r.cmd = exec.Command(self, r.args...)
+	r.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(r.site.Folder, r.Name+".json"))
+	r.cmd.Stderr = r.log
+	if r.in, err = r.cmd.StdinPipe(); err != nil {
+		return err
+	}
+	if err := r.cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	r.ended = ended
+	go func(c *exec.Cmd) {
+		c.Wait()
+		close(ended)
+	}(r.cmd)
+	c := client.New(r.Address, "ready", timeout)
+	defer c.Close()
+	for began := time.Now(); !c.Ready(); time.Sleep(5 * time.Millisecond) {
+		select {
+		case <-ended:
+			return fmt.Errorf("router %s ended: %s", r.Name, r.cmd.ProcessState)
+		default:
+		}
+		if time.Since(began) > startWait {
+			r.Kill()
+			return fmt.Errorf("router %s was not ready within %v", r.Name, startWait)
+		}
+	}
+	return nil
+}
+
+// Say writes a line to the process.
+func (r *Router) Say(line ...string) { fmt.Fprintln(r.in, strings.Join(line, " ")) }
+
+// Signal sends the process a signal.
+func (r *Router) Signal(s syscall.Signal) { r.cmd.Process.Signal(s) }
+
+// Kill ends the process at once.
+func (r *Router) Kill() {
+	if r.cmd == nil || r.cmd.Process == nil {
+		return
+	}
+	select {
+	case <-r.ended:
+	default:
+		r.cmd.Process.Kill()
+		<-r.ended
+	}
+}
+
+// Stop ends the process in order.
+func (r *Router) Stop() error {
+	r.Signal(syscall.SIGTERM)
+	select {
+	case <-r.ended:
+		if code := r.cmd.ProcessState.ExitCode(); code != 0 {
+			return fmt.Errorf("router %s ended with %d", r.Name, code)
+		}
+		return nil
+	case <-time.After(stopWait):
+		r.Kill()
+		return fmt.Errorf("router %s did not leave within %v", r.Name, stopWait)
+	}
+}
+
+// Session is a client's session at the router.
+func (r *Router) Session(key string) *client.Session { return client.New(r.Address, key, timeout) }
+
+// CPU is the processor time that the process has used.
+func (r *Router) CPU() (time.Duration, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0, errors.New("no processor time")
+	}
+	var user, system int64
+	fmt.Sscan(f[11], &user)
+	fmt.Sscan(f[12], &system)
+	return time.Duration(user+system) * 10 * time.Millisecond, nil
+}
