Prove shared duties with three processes: killed, stopped, cut off

Need: the hard cases of shared duties must be seen on real processes. Change: cmd/proof and internal/standin/proof; first probes are spread again, which the proof found they were not.

--- /dev/null
+++ b/cmd/proof/main.go
@@ -0,0 +1,57 @@
+// Command proof plays the project's proofs on loopback and in simulated time. Each ends with one line and exits 0 only
+// where every limit holds.
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"cairntiller/internal/standin/proof"
+)
+
+type line struct {
+	Duties dutiesLine `cmd:"" help:"Three routers share probes; one is killed, one stopped, one cut off."`
+	Child  childLine  `cmd:"" hidden:""`
+}
+
+type dutiesLine struct {
+	Seed  uint64 `default:"1" help:"For the order of faults."`
+	Size  int    `default:"10" help:"Boxes."`
+	Short bool   `help:"The short form."`
+	Log   bool   `help:"Print what the routers log."`
+}
+
+func (l *dutiesLine) Run() error {
+	log := io.Discard
+	if l.Log {
+		log = os.Stderr
+	}
+	end, err := proof.Duties{Seed: l.Seed, Boxes: l.Size, Short: l.Short, Every: time.Second, Log: log, Writes: os.Stdout}.Run()
+	if end != "" {
+		fmt.Println(end)
+	}
+	return err
+}
+
+type childLine struct {
+	File string
+}
+
+func (l *childLine) Run() error {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	return proof.Child(l.File)
+}
+
+func main() {
+	var l line
+	ctx := kong.Parse(&l, kong.Name("proof"), kong.Description("Proofs of the project's subsystems."), kong.UsageOnError())
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -285,7 +285,7 @@
 // Every is the interval in force, in us.
 func (t *Table) Every() int64 { return t.every }
 
-// Add takes a duty on, or a new process of its node; the first run of a duty nobody spoke of is spread by its key.
+// Add takes a duty on, or a new process of its node.
 func (t *Table) Add(now int64, key string, started int64) {
 	s := &t.duty
 	if d, known := s.index[key]; known {
@@ -309,7 +309,7 @@
 	s.holder[d], s.term[d], s.heard[d], s.check[d] = -1, 0, false, false
 	s.yield[d], s.yields[d], s.secondAt[d] = 0, 0, 0
 	s.freshAt[d] = now // it is overdue only from here on
-	s.nextAt[d] = now + t.phase(d)
+	s.nextAt[d] = now
 	t.aim(d)
 }
 
@@ -527,8 +527,8 @@
 	t.taken++
 	if s.heard[d] {
 		s.nextAt[d] = max(now, s.freshAt[d]+t.every)
-	} else {
-		s.nextAt[d] = max(now, s.nextAt[d])
+	} else { // nobody spoke of it: instances that start together must not run all at once
+		s.nextAt[d] = now + t.phase(d)
 	}
 }
 
--- /dev/null
+++ b/internal/standin/proof/duties_test.go
@@ -0,0 +1,42 @@
+package proof
+
+import (
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test's program be the router that a proof starts.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == "child" {
+		Child(os.Args[3])
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// TestDuties plays the short form, and twice with a fault on purpose that it must see.
+func TestDuties(t *testing.T) {
+	for name, c := range map[string]struct {
+		p    Duties
+		want string
+	}{
+		"as it is":                 {Duties{Every: time.Second}, ""},
+		"nobody hears the others":  {Duties{Every: time.Second, Apart: true}, "of the unshared probes"},
+		"probes that are too rare": {Duties{Every: 6 * time.Second}, "went unprobed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.p.Seed, c.p.Boxes, c.p.Short, c.p.Log, c.p.Writes = 1, 6, true, io.Discard, io.Discard
+			line, err := c.p.Run()
+			if c.want == "" && (err != nil || !strings.Contains(line, "holds")) {
+				t.Errorf("%v: %s", err, line)
+			}
+			if c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(line, "FAILS")) {
+				t.Errorf("a fault went unseen: %v, %s", err, line)
+			}
+		})
+	}
+}
