--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -16,6 +17,7 @@
 
 type line struct {
 	Duties dutiesLine `cmd:"" help:"Three routers share probes; one is killed, one stopped, one cut off."`
+	Sizes  sizesLine  `cmd:"" help:"Shared duties among many instances, in simulated time."`
 	Child  childLine  `cmd:"" hidden:""`
 }
 
@@ -38,6 +40,25 @@
 	return err
 }
 
+type sizesLine struct {
+	Seed  uint64 `default:"1" help:"For delays, phases and churn."`
+	Sizes string `default:"3x10,3x1000,30x1000,300x1000,1000x1000,1000x10000" help:"Instances x boxes, each."`
+}
+
+func (l *sizesLine) Run() error {
+	p := proof.Sizes{Seed: l.Seed, Writes: os.Stdout}
+	for one := range strings.SplitSeq(l.Sizes, ",") {
+		var size [2]int
+		if _, err := fmt.Sscanf(one, "%dx%d", &size[0], &size[1]); err != nil || size[0] < 2 || size[1] < 1 {
+			return fmt.Errorf("%q: want instances x boxes, such as 30x1000", one)
+		}
+		p.Sizes = append(p.Sizes, size)
+	}
+	end, err := p.Run()
+	fmt.Println(end)
+	return err
+}
+
 type childLine struct {
 	File string
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -640,6 +640,16 @@
 // Holds is how many duties this instance runs.
 func (t *Table) Holds() int { return t.member.holds[t.self] }
 
+// Falls is how many duties a member is the target of.
+func (t *Table) Falls(name string) (n int) {
+	for d, at := range t.duty.target {
+		if t.duty.key[d] != "" && at >= 0 && t.member.name[at] == name {
+			n++
+		}
+	}
+	return n
+}
+
 // Mine tells whether this instance runs a duty.
 func (t *Table) Mine(key string) bool {
 	d, known := t.duty.index[key]
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -410,8 +410,12 @@
 	return f.queue.GetBroadcasts(overhead, limit)
 }
 
-// LocalState implements memberlist.Delegate: what a member that joins is handed.
-func (f *Fleet) LocalState(bool) []byte {
+// LocalState implements memberlist.Delegate: what a member that joins is handed. The library's regular exchanges
+// carry none of it: each word is said anew every interval, and all state each time would grow with all nodes.
+func (f *Fleet) LocalState(join bool) []byte {
+	if !join {
+		return nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
@@ -433,6 +437,9 @@
 
 // MergeRemoteState implements memberlist.Delegate.
 func (f *Fleet) MergeRemoteState(raw []byte, _ bool) {
+	if len(raw) == 0 {
+		return
+	}
 	var s state
 	if len(raw) > mostState || decoding.Unmarshal(raw, &s) != nil || s.Version != version {
 		unread.Add()
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -190,10 +191,14 @@
 	return e, nil
 }
 
-// Bytes is how many bytes words take on the wire, envelopes and all, before encryption; for measurements.
+// Bytes is what words of one origin cost a member a time that it sends them, envelopes and all, before encryption;
+// Sends is how often it sends each message where there are so many members. Both are for measurements.
 func Bytes(origin string, all []duty.Word) (n int) {
 	for _, one := range pack(origin, all) {
 		n += len(encode(envelope{Version: version, Origin: origin, Born: 1 << 50, Number: 1 << 20, Held: 100_000, Words: one}))
 	}
 	return n
 }
+
+// Sends is the library's rule.
+func Sends(members int) int { return gossipMult * int(math.Ceil(math.Log10(float64(members+1)))) }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -44,6 +44,7 @@
 var (
 	reloads  = counters.New("configurations read anew")
 	rejected = counters.New("configurations rejected")
+	keyed    = counters.New("keys changed")
 )
 
 // told is what the platform tells a router.
@@ -257,6 +258,7 @@
 			slog.Error("keys not changed", "err", err)
 			return place, pace
 		}
+		keyed.Add()
 		slog.Info("keys changed", "keys", len(fresh.Keys))
 	}
 	place.Keys = fresh.Keys
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +17,8 @@
 	"time"
 
 	"cairntiller/internal/counters"
+	"cairntiller/internal/duty"
+	"cairntiller/internal/fleet"
 	"cairntiller/internal/pgwire"
 )
 
@@ -148,3 +152,79 @@
 		t.Error("it runs without a configuration")
 	}
 }
+
+// TestKeysChangeBySignal: a member with the new key alone comes in once SIGHUP has read the file again; a file with
+// faults changes nothing.
+func TestKeysChangeBySignal(t *testing.T) {
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	listen, place := free(), free()
+	configured(t, strings.Replace(fmt.Sprintf(config, listen, "127.0.0.1:1"), `"cancel":true`, `"cancel":true,"probes":true`, 1))
+	path := filepath.Join(t.TempDir(), "file.sexp")
+	write := func(keys ...string) {
+		t.Helper()
+		text := fmt.Sprintf(`(fleet (listen %q) (cluster "test") (keys %s)) (duties (instances 2))`, place, strings.Join(keys, " "))
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old, fresh := bytes.Repeat([]byte{1}, 32), bytes.Repeat([]byte{2}, 32)
+	word := func(key []byte) string { return `"` + base64.StdEncoding.EncodeToString(key) + `"` }
+	write(word(old))
+	ended := make(chan error, 1)
+	go func() { ended <- Run(path, nil) }()
+	for c, err := net.Dial("tcp", listen); ; c, err = net.Dial("tcp", listen) {
+		if err == nil {
+			c.Close()
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	up := make(chan string, 9)
+	m, err := fleet.Start(fleet.Place{Name: "other", Cluster: "test", Listen: "127.0.0.1:0", Join: []string{place},
+		Keys: [][]byte{fresh}, Most: 8, Weight: 1}, fleet.Events{Up: func(name string, _ float64, _ uint64) { up <- name },
+		Down: func(string, uint64, bool) {}, Words: func([]duty.Word) {}, Returned: func(int) {}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Cut()
+	hangUp := func(counted *counters.Counter) {
+		t.Helper()
+		before := counted.Count()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for counted.Count() == before {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	write("short")
+	hangUp(rejected)
+	select {
+	case name := <-up:
+		t.Fatalf("%s is met with a wrong key", name)
+	case <-time.After(700 * time.Millisecond):
+	}
+	write(word(fresh), word(old))
+	hangUp(keyed)
+	select {
+	case name := <-up:
+		if name != "n0" {
+			t.Error(name)
+		}
+	case <-time.After(15 * time.Second):
+		t.Error("the new key does not open")
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/proof/duties_test.go
+++ b/internal/standin/proof/duties_test.go
@@ -40,3 +40,11 @@
 		})
 	}
 }
+
+// TestSizes is the simulated part at sizes that take seconds.
+func TestSizes(t *testing.T) {
+	line, err := Sizes{Seed: 1, Sizes: [][2]int{{3, 10}, {30, 200}}, Writes: io.Discard}.Run()
+	if err != nil || !strings.Contains(line, "holds") {
+		t.Errorf("%v: %s", err, line)
+	}
+}
