Forget instances that have been gone for long

Need: names that come and go would add up in the duty table. Change: a place is given back ten minutes after a member's loss, once it holds nothing.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -38,7 +38,7 @@
 	lateDown     = 0.01       // the same for one that is sooner: the upper end counts
 	standstill   = 1_000_000  // us without a tick: ten of them; this instance stood still itself
 	catchUp      = 500_000    // us after a standstill in which what is read may have lain as long as it took
-	sizeKept     = 600e6      // us for which the greatest number of instances seen is believed
+	sizeKept     = 600e6      // us for which the greatest number of instances seen is believed, and lost ones are known
 	roleFor      = 2_000_000  // us up to which a peer's word on a role is passed on: under the module's own 5 s of doubt
 	quietFor     = 2.5        // intervals up to which a peer's word on silence is
 	takeBurst    = 1.0        // seconds' worth of takeovers that may come at once
@@ -126,6 +126,8 @@
 	holds    []int // how many duties it holds
 	overdue  []int // of them, without a word for too long; counted anew by each tick
 	usable   []bool
+	goneAt   []int64 // when it was lost or left
+	free     []int   // indexes that stand for nobody
 }
 
 // duties holds the figures about duties, the same way.
@@ -164,21 +166,46 @@
 func (t *Table) enter(name string, weight float64) int {
 	s := &t.member
 	m := len(s.name)
+	if n := len(s.free) - 1; n >= 0 {
+		m, s.free = s.free[n], s.free[:n]
+	}
 	s.index[name] = m
-	s.name = append(s.name, name)
-	s.hash = append(s.hash, xxhash.Sum64String(name))
-	s.weight = append(s.weight, weight)
-	s.born = append(s.born, 0)
-	s.state = append(s.state, Dead)
-	s.slowTill = append(s.slowTill, 0)
-	s.returns = append(s.returns, 0)
-	s.backAt = append(s.backAt, 0)
-	s.holds = append(s.holds, 0)
-	s.overdue = append(s.overdue, 0)
-	s.usable = append(s.usable, false)
+	put(&s.name, m, name)
+	put(&s.hash, m, xxhash.Sum64String(name))
+	put(&s.weight, m, weight)
+	put(&s.born, m, 0)
+	put(&s.state, m, Dead)
+	put(&s.slowTill, m, 0)
+	put(&s.returns, m, 0)
+	put(&s.backAt, m, 0)
+	put(&s.holds, m, 0)
+	put(&s.overdue, m, 0)
+	put(&s.usable, m, false)
+	put(&s.goneAt, m, 0)
 	return m
 }
 
+// put sets an array's figure at an index, which may be the one behind its last.
+func put[T any](a *[]T, n int, v T) {
+	if n == len(*a) {
+		*a = append(*a, v)
+	} else {
+		(*a)[n] = v
+	}
+}
+
+// forget gives back the places of members that have been gone for long, so that names that come and go don't add up.
+func (t *Table) forget(now int64) {
+	s := &t.member
+	for m, name := range s.name {
+		if name != "" && s.state[m] != Alive && !s.usable[m] && s.holds[m] == 0 && now-s.goneAt[m] > sizeKept {
+			delete(s.index, name)
+			s.name[m] = ""
+			s.free = append(s.free, m)
+		}
+	}
+}
+
 // Up tells that a member is there, in an incarnation.
 func (t *Table) Up(now int64, name string, weight float64, born uint64) {
 	s := &t.member
@@ -222,7 +249,7 @@
 	if !known || m == t.self || born < s.born[m] || s.state[m] != Alive {
 		return
 	}
-	s.state[m] = Dead
+	s.state[m], s.goneAt[m] = Dead, now
 	if left {
 		s.state[m] = Left
 	}
@@ -297,19 +324,21 @@
 	d := len(s.key)
 	if n := len(s.free) - 1; n >= 0 {
 		d, s.free = s.free[n], s.free[:n]
-	} else {
-		s.key, s.hash, s.started = append(s.key, ""), append(s.hash, 0), append(s.started, 0)
-		s.target, s.holder, s.term = append(s.target, -1), append(s.holder, -1), append(s.term, 0)
-		s.freshAt, s.heard, s.nextAt = append(s.freshAt, 0), append(s.heard, false), append(s.nextAt, 0)
-		s.yield, s.yields, s.secondAt = append(s.yield, 0), append(s.yields, 0), append(s.secondAt, 0)
-		s.check = append(s.check, false)
 	}
 	s.index[key] = d
-	s.key[d], s.hash[d], s.started[d] = key, xxhash.Sum64String(key), started
-	s.holder[d], s.term[d], s.heard[d], s.check[d] = -1, 0, false, false
-	s.yield[d], s.yields[d], s.secondAt[d] = 0, 0, 0
-	s.freshAt[d] = now // it is overdue only from here on
-	s.nextAt[d] = now
+	put(&s.key, d, key)
+	put(&s.hash, d, xxhash.Sum64String(key))
+	put(&s.started, d, started)
+	put(&s.target, d, -1)
+	put(&s.holder, d, -1)
+	put(&s.term, d, 0)
+	put(&s.freshAt, d, now) // it is overdue only from here on
+	put(&s.heard, d, false)
+	put(&s.nextAt, d, now)
+	put(&s.yield, d, 0)
+	put(&s.yields, d, 0)
+	put(&s.secondAt, d, 0)
+	put(&s.check, d, false)
 	t.aim(d)
 }
 
@@ -390,6 +419,7 @@
 // that came takes only what it is first for.
 func (t *Table) retarget(now int64) {
 	t.stale = false
+	t.forget(now)
 	s := &t.member
 	var came []int
 	went := make([]bool, len(s.name))
--- a/internal/duty/model_test.go
+++ b/internal/duty/model_test.go
@@ -364,6 +364,21 @@
 			t.Fatalf("duty %d fell to another", d)
 		}
 	}
+	now += sizeKept
+	tab.Up(now, "r1", 2, 1)
+	tab.Tick(now, nil)
+	for round := range 10 {
+		now += sizeKept + 1
+		for i := range 100 {
+			name := fmt.Sprint("later", round, "-", i)
+			tab.Up(now, name, 1, 1)
+			tab.Down(now, name, 1, false)
+		}
+		tab.Tick(now, nil)
+	}
+	if n := len(tab.member.name); n > 800 {
+		t.Errorf("%d members are kept in mind", n)
+	}
 }
 
 // TestBoxLoad: however the instances are parted, the parts together stay under a box's load.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,7 +122,7 @@
 		}
 		at.Keys = append(at.Keys, key)
 	}
-	if len(keys) == 0 {
+	if len(keys) == 0 && file == "" {
 		p.Wrong("keys", "no key", "at least one, in keys or key-file: 16, 24 or 32 random bytes in base64")
 	}
 	return at
