--- a/internal/standin/badnet/badnet.go
+++ b/internal/standin/badnet/badnet.go
@@ -170,7 +170,9 @@
 	return c, err
 }
 
+// Shutdown ends the transport first: it waits for its readers, which hand what they have to this one.
 func (w *wrapped) Shutdown() error {
+	err := w.NodeAwareTransport.Shutdown()
 	w.once.Do(func() { close(w.over) })
-	return w.NodeAwareTransport.Shutdown()
+	return err
 }
