--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -128,14 +130,26 @@
 	ended         chan struct{}
 }
 
+// Ports are handed out below those that the kernel gives to outgoing connections, which would else take one between
+// here and its use; each once.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var handed sync.Map
+
 // Free is an address of loopback where nothing listens, for TCP and UDP.
 func Free() (string, error) {
-	for range 20 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 200 {
+		at := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if _, taken := handed.LoadOrStore(at, true); taken {
+			continue
+		}
+		ln, err := net.Listen("tcp", at)
 		if err != nil {
-			return "", err
+			continue
 		}
-		at := ln.Addr().String()
 		p, err := net.ListenPacket("udp", at)
 		ln.Close()
 		if err == nil {
