Cut statements into tokens by PostgreSQL's lexical rules, with bounds

Need: statements are to be classed by what they say. Change: internal/sql has a lexer that refuses what can't be read in bounded time, and tells where a text's end depends on an unknown setting.

--- /dev/null
+++ b/internal/sql/lex.go
@@ -0,0 +1,490 @@
+// Package sql reads statements as far as routing needs: into tokens by PostgreSQL's published lexical rules (manual,
+// chapter 4.1). It does no I/O and knows no command of the router's. What can't be read is refused with its place and
+// reason, in time and memory that grow with the text at most.
+package sql
+
+import (
+	"fmt"
+	"strings"
+	"unicode/utf8"
+)
+
+// Limits of one text; what lies over them is refused before more work is done on it.
+const (
+	MostBytes  = 1 << 20 // of a text: far over what a person or a program writes for one command
+	MostTokens = 1 << 16 // a list of some ten thousand values
+	MostDepth  = 256     // brackets within one another: deeper ones come from generators gone wrong
+)
+
+// Kind is what a token is.
+type Kind uint8
+
+// The kinds of tokens.
+const (
+	End      Kind = iota
+	Word          // an identifier or a key word, folded to lower case
+	Quoted        // an identifier in double quotes, as it stands within them
+	Text          // a text, in whatever quotes
+	Bits          // B'...' or X'...'
+	Number        // any number
+	Param         // $1
+	Operator      // one or more of the operator characters
+	Mark          // one of ( ) [ ] , ; . : and :: := .. =>
+)
+
+// Token is one token: its kind and where it stands in the text.
+type Token struct {
+	Kind     Kind
+	From, To int32 // bytes
+}
+
+// Error is why a text is refused, and where.
+type Error struct {
+	At  int // byte of the text, from 0
+	Why string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("at byte %d: %s", e.At, e.Why) }
+
+// Strings is how a server reads a backslash in plain quotes: its setting standard_conforming_strings.
+type Strings uint8
+
+// The ways to read it. Where it is not known, a text whose end depends on it can't be trusted.
+const (
+	Standard  Strings = iota // a backslash is an ordinary character
+	Backslash                // a backslash escapes what follows it
+	Unknown
+)
+
+// Lexer cuts a text into tokens.
+type Lexer struct {
+	text    string
+	strings Strings
+	at      int
+	tokens  int
+	depth   int
+	// Doubtful tells that a plain text held a backslash while it is not known how the server reads it: another
+	// reading may end the text elsewhere.
+	Doubtful bool
+}
+
+// NewLexer begins a text; it is refused at once where it is too long or not UTF-8.
+func NewLexer(text string, how Strings) (*Lexer, error) {
+	if len(text) > MostBytes {
+		return nil, &Error{MostBytes, fmt.Sprintf("%d bytes, %d at most", len(text), MostBytes)}
+	}
+	if !utf8.ValidString(text) {
+		at := 0
+		for at < len(text) {
+			r, size := utf8.DecodeRuneInString(text[at:])
+			if r == utf8.RuneError && size <= 1 {
+				break
+			}
+			at += size
+		}
+		return nil, &Error{at, "no valid UTF-8"}
+	}
+	if i := strings.IndexByte(text, 0); i >= 0 {
+		return nil, &Error{i, "a zero byte"}
+	}
+	return &Lexer{text: text, strings: how}, nil
+}
+
+// Text is a token as it stands in the text.
+func (l *Lexer) Text(t Token) string { return l.text[t.From:t.To] }
+
+// Name is an identifier's name as the server takes it: folded, or as it stands in its quotes.
+func (l *Lexer) Name(t Token) string {
+	s := l.Text(t)
+	switch t.Kind {
+	case Word:
+		return fold(s)
+	case Quoted:
+		if s[0] != '"' { // U&"..."
+			s = s[2:]
+		}
+		return strings.ReplaceAll(s[1:len(s)-1], `""`, `"`)
+	}
+	return s
+}
+
+// fold lowers ASCII letters alone, as servers do for names in UTF-8.
+func fold(s string) string {
+	for i := 0; i < len(s); i++ {
+		if s[i] >= 'A' && s[i] <= 'Z' {
+			b := []byte(s)
+			for ; i < len(b); i++ {
+				if b[i] >= 'A' && b[i] <= 'Z' {
+					b[i] += 'a' - 'A'
+				}
+			}
+			return string(b)
+		}
+	}
+	return s
+}
+
+// Classes of bytes.
+const (
+	isSpace = 1 << iota
+	isStart // of an identifier
+	isPart  // of one, behind its start
+	isDigit
+	isOperator
+	isSelf // stands alone
+)
+
+var class = func() (c [256]uint8) {
+	for _, b := range " \t\n\r\f\v" {
+		c[b] |= isSpace
+	}
+	for b := 0; b < 256; b++ {
+		if b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '_' || b >= 0x80 {
+			c[b] |= isStart | isPart
+		}
+		if b >= '0' && b <= '9' {
+			c[b] |= isDigit | isPart
+		}
+	}
+	c['$'] |= isPart
+	for _, b := range "+-*/<>=~!@#%^&|`?" {
+		c[b] |= isOperator
+	}
+	for _, b := range "()[],;." {
+		c[b] |= isSelf
+	}
+	return c
+}()
+
+func (l *Lexer) fail(at int, why string) (Token, error) {
+	l.at = len(l.text)
+	return Token{}, &Error{at, why}
+}
+
+// byteAt is a byte of the text, 0 behind its end.
+func (l *Lexer) byteAt(i int) byte {
+	if i < len(l.text) {
+		return l.text[i]
+	}
+	return 0
+}
+
+// Next is the next token; End behind the last.
+func (l *Lexer) Next() (Token, error) {
+	if err := l.skip(); err != nil {
+		return l.fail(err.At, err.Why)
+	}
+	if l.at >= len(l.text) {
+		return Token{Kind: End, From: int32(len(l.text)), To: int32(len(l.text))}, nil
+	}
+	if l.tokens++; l.tokens > MostTokens {
+		return l.fail(l.at, fmt.Sprintf("over %d tokens", MostTokens))
+	}
+	from := l.at
+	kind, err := l.one()
+	if err != nil {
+		return l.fail(err.At, err.Why)
+	}
+	return Token{kind, int32(from), int32(l.at)}, nil
+}
+
+// skip passes white space and comments, which may be within one another.
+func (l *Lexer) skip() *Error {
+	for l.at < len(l.text) {
+		c := l.text[l.at]
+		switch {
+		case class[c]&isSpace != 0:
+			l.at++
+		case c == '-' && l.byteAt(l.at+1) == '-':
+			l.line()
+		case c == '/' && l.byteAt(l.at+1) == '*':
+			if err := l.comment(); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+func (l *Lexer) line() {
+	if i := strings.IndexAny(l.text[l.at:], "\n\r"); i >= 0 {
+		l.at += i
+	} else {
+		l.at = len(l.text)
+	}
+}
+
+func (l *Lexer) comment() *Error {
+	from, depth := l.at, 0
+	for l.at < len(l.text) {
+		switch {
+		case l.text[l.at] == '/' && l.byteAt(l.at+1) == '*':
+			depth++
+			l.at += 2
+		case l.text[l.at] == '*' && l.byteAt(l.at+1) == '/':
+			depth--
+			l.at += 2
+			if depth == 0 {
+				return nil
+			}
+		default:
+			l.at++
+		}
+	}
+	return &Error{from, "a comment that does not end"}
+}
+
+// one reads a token that begins here.
+func (l *Lexer) one() (Kind, *Error) {
+	c, next := l.text[l.at], l.byteAt(l.at+1)
+	switch {
+	case c == '\'':
+		return Text, l.quoted(l.at, l.strings == Backslash, l.strings == Unknown)
+	case (c == 'e' || c == 'E') && next == '\'':
+		return Text, l.prefixed(1, true)
+	case (c == 'b' || c == 'B' || c == 'x' || c == 'X') && next == '\'':
+		return Bits, l.prefixed(1, false)
+	case (c == 'n' || c == 'N') && next == '\'':
+		from := l.at
+		l.at++
+		return Text, l.quoted(from, l.strings == Backslash, l.strings == Unknown)
+	case (c == 'u' || c == 'U') && next == '&' && l.byteAt(l.at+2) == '\'':
+		// Where the server reads backslashes as escapes it refuses this form, so only one reading is possible.
+		return Text, l.prefixed(2, false)
+	case (c == 'u' || c == 'U') && next == '&' && l.byteAt(l.at+2) == '"':
+		l.at += 2
+		return Quoted, l.identifier()
+	case c == '"':
+		return Quoted, l.identifier()
+	case class[c]&isStart != 0:
+		for l.at < len(l.text) && class[l.text[l.at]]&isPart != 0 {
+			l.at++
+		}
+		return Word, nil
+	case class[c]&isDigit != 0 || c == '.' && class[next]&isDigit != 0:
+		return Number, l.number()
+	case c == '$':
+		return l.dollar()
+	case c == ':' || class[c]&isSelf != 0:
+		return Mark, l.mark(c, next)
+	case class[c]&isOperator != 0:
+		return l.operator()
+	}
+	return 0, &Error{l.at, fmt.Sprintf("the character %q", c)}
+}
+
+func (l *Lexer) prefixed(by int, escapes bool) *Error {
+	from := l.at
+	l.at += by
+	return l.quoted(from, escapes, false)
+}
+
+// quoted reads a text in single quotes, with what continues it on a later line.
+func (l *Lexer) quoted(from int, escapes, doubtful bool) *Error {
+	for l.at++; l.at < len(l.text); l.at++ {
+		switch l.text[l.at] {
+		case '\\':
+			if doubtful {
+				l.Doubtful = true
+			}
+			if escapes {
+				l.at++
+			}
+		case '\'':
+			if l.byteAt(l.at+1) == '\'' {
+				l.at++
+				continue
+			}
+			l.at++
+			if !l.continued() {
+				return nil
+			}
+		}
+	}
+	l.at = len(l.text)
+	return &Error{from, "a text that does not end"}
+}
+
+// continued passes to the opening quote of a text's next part: only white space with a line's end may stand between,
+// and line comments within it.
+func (l *Lexer) continued() bool {
+	at, line := l.at, false
+	for at < len(l.text) {
+		c := l.text[at]
+		switch {
+		case c == '\n' || c == '\r':
+			line = true
+			at++
+		case class[c]&isSpace != 0:
+			at++
+		case line && c == '-' && l.byteAt(at+1) == '-':
+			i := strings.IndexAny(l.text[at:], "\n\r")
+			if i < 0 {
+				return false
+			}
+			at += i
+		case line && c == '\'':
+			l.at = at
+			return true
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+func (l *Lexer) identifier() *Error {
+	from := l.at
+	for l.at++; l.at < len(l.text); l.at++ {
+		if l.text[l.at] != '"' {
+			continue
+		}
+		if l.byteAt(l.at+1) == '"' {
+			l.at++
+			continue
+		}
+		l.at++
+		if l.at-from <= 2 {
+			return &Error{from, "a name without a letter"}
+		}
+		return nil
+	}
+	return &Error{from, "a name that does not end"}
+}
+
+// number reads digits of any base, with underscores between them, a fraction and an exponent; a letter right behind is
+// junk.
+func (l *Lexer) number() *Error {
+	from := l.at
+	if l.text[l.at] == '0' {
+		base := ""
+		switch l.byteAt(l.at + 1) {
+		case 'x', 'X':
+			base = "0123456789abcdefABCDEF"
+		case 'o', 'O':
+			base = "01234567"
+		case 'b', 'B':
+			base = "01"
+		}
+		if base != "" {
+			l.at += 2
+			if !l.digits(base, true) {
+				return &Error{from, "a number without digits"}
+			}
+			return l.junk(from)
+		}
+	}
+	const ten = "0123456789"
+	l.digits(ten, false)
+	if l.byteAt(l.at) == '.' && l.byteAt(l.at+1) != '.' { // "1..2" is a range
+		l.at++
+		l.digits(ten, false)
+	}
+	if c := l.byteAt(l.at); c == 'e' || c == 'E' {
+		at := l.at
+		l.at++
+		if c := l.byteAt(l.at); c == '+' || c == '-' {
+			l.at++
+		}
+		if !l.digits(ten, false) {
+			return &Error{at, "an exponent without digits"}
+		}
+	}
+	return l.junk(from)
+}
+
+// digits passes digits, with single underscores between them, or before the first where that is allowed.
+func (l *Lexer) digits(of string, before bool) (any bool) {
+	for l.at < len(l.text) {
+		switch c := l.text[l.at]; {
+		case strings.IndexByte(of, c) >= 0:
+			any = true
+			l.at++
+		case c == '_' && (any || before) && strings.IndexByte(of, l.byteAt(l.at+1)) >= 0 && l.at+1 < len(l.text):
+			l.at++
+		default:
+			return any
+		}
+	}
+	return any
+}
+
+func (l *Lexer) junk(from int) *Error {
+	if class[l.byteAt(l.at)]&isStart != 0 {
+		return &Error{from, "a number with a letter behind it"}
+	}
+	return nil
+}
+
+// dollar reads a parameter or a text in dollar quotes.
+func (l *Lexer) dollar() (Kind, *Error) {
+	from := l.at
+	l.at++
+	if class[l.byteAt(l.at)]&isDigit != 0 {
+		for class[l.byteAt(l.at)]&isDigit != 0 {
+			l.at++
+		}
+		return Param, l.junk(from)
+	}
+	for l.at < len(l.text) && l.text[l.at] != '$' && class[l.text[l.at]]&isPart != 0 {
+		l.at++
+	}
+	if l.byteAt(l.at) != '$' {
+		return 0, &Error{from, "a dollar that begins nothing"}
+	}
+	l.at++
+	tag := l.text[from:l.at]
+	end := strings.Index(l.text[l.at:], tag)
+	if end < 0 {
+		l.at = len(l.text)
+		return 0, &Error{from, "a text that does not end"}
+	}
+	l.at += end + len(tag)
+	return Text, nil
+}
+
+// mark reads a mark, and keeps count of brackets.
+func (l *Lexer) mark(c, next byte) *Error {
+	from := l.at
+	l.at++
+	switch {
+	case c == ':' && (next == ':' || next == '='), c == '.' && next == '.':
+		l.at++
+	case c == '(' || c == '[':
+		if l.depth++; l.depth > MostDepth {
+			return &Error{from, fmt.Sprintf("brackets over %d deep", MostDepth)}
+		}
+	case c == ')' || c == ']':
+		if l.depth--; l.depth < 0 {
+			return &Error{from, "a closing bracket without its opening one"}
+		}
+	}
+	return nil
+}
+
+// operator reads operator characters up to a comment. Of several it ends in + or - only where one of ~!@#%^&|`? is
+// among them.
+func (l *Lexer) operator() (Kind, *Error) {
+	from, end := l.at, l.at
+	for end < len(l.text) && class[l.text[end]]&isOperator != 0 {
+		if two := l.text[end:min(end+2, len(l.text))]; two == "--" || two == "/*" {
+			break
+		}
+		end++
+	}
+	if !strings.ContainsAny(l.text[from:end], "~!@#%^&|`?") {
+		for end-from > 1 && (l.text[end-1] == '+' || l.text[end-1] == '-') {
+			end--
+		}
+	}
+	l.at = end
+	if l.text[from:end] == "=>" {
+		return Mark, nil
+	}
+	return Operator, nil
+}
+
+// Balanced tells whether every bracket that was opened is closed.
+func (l *Lexer) Balanced() bool { return l.depth == 0 }
