--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -19,6 +19,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cairntiller/internal/dense"
 )
 
 const (
@@ -170,30 +172,21 @@
 		m, s.free = s.free[n], s.free[:n]
 	}
 	s.index[name] = m
-	put(&s.name, m, name)
-	put(&s.hash, m, xxhash.Sum64String(name))
-	put(&s.weight, m, weight)
-	put(&s.born, m, 0)
-	put(&s.state, m, Dead)
-	put(&s.slowTill, m, 0)
-	put(&s.returns, m, 0)
-	put(&s.backAt, m, 0)
-	put(&s.holds, m, 0)
-	put(&s.overdue, m, 0)
-	put(&s.usable, m, false)
-	put(&s.goneAt, m, 0)
+	dense.Put(&s.name, m, name)
+	dense.Put(&s.hash, m, xxhash.Sum64String(name))
+	dense.Put(&s.weight, m, weight)
+	dense.Put(&s.born, m, 0)
+	dense.Put(&s.state, m, Dead)
+	dense.Put(&s.slowTill, m, 0)
+	dense.Put(&s.returns, m, 0)
+	dense.Put(&s.backAt, m, 0)
+	dense.Put(&s.holds, m, 0)
+	dense.Put(&s.overdue, m, 0)
+	dense.Put(&s.usable, m, false)
+	dense.Put(&s.goneAt, m, 0)
 	return m
 }
 
-// put sets an array's figure at an index, which may be the one behind its last.
-func put[T any](a *[]T, n int, v T) {
-	if n == len(*a) {
-		*a = append(*a, v)
-	} else {
-		(*a)[n] = v
-	}
-}
-
 // forget gives back the places of members that have been gone for long, so that names that come and go don't add up.
 func (t *Table) forget(now int64) {
 	s := &t.member
@@ -326,19 +319,19 @@
 		d, s.free = s.free[n], s.free[:n]
 	}
 	s.index[key] = d
-	put(&s.key, d, key)
-	put(&s.hash, d, xxhash.Sum64String(key))
-	put(&s.started, d, started)
-	put(&s.target, d, -1)
-	put(&s.holder, d, -1)
-	put(&s.term, d, 0)
-	put(&s.freshAt, d, now) // it is overdue only from here on
-	put(&s.heard, d, false)
-	put(&s.nextAt, d, now)
-	put(&s.yield, d, 0)
-	put(&s.yields, d, 0)
-	put(&s.secondAt, d, 0)
-	put(&s.check, d, false)
+	dense.Put(&s.key, d, key)
+	dense.Put(&s.hash, d, xxhash.Sum64String(key))
+	dense.Put(&s.started, d, started)
+	dense.Put(&s.target, d, -1)
+	dense.Put(&s.holder, d, -1)
+	dense.Put(&s.term, d, 0)
+	dense.Put(&s.freshAt, d, now) // it is overdue only from here on
+	dense.Put(&s.heard, d, false)
+	dense.Put(&s.nextAt, d, now)
+	dense.Put(&s.yield, d, 0)
+	dense.Put(&s.yields, d, 0)
+	dense.Put(&s.secondAt, d, 0)
+	dense.Put(&s.check, d, false)
 	t.aim(d)
 }
 
--- a/internal/duty/model_test.go
+++ b/internal/duty/model_test.go
@@ -1,24 +1,18 @@
 package duty
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
+
+	"cairntiller/internal/standin/seeded"
 )
 
-// TestMain fixes the seed of generated tests, so that the verdict is the same each time; -rapid.seed takes another.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		f.Value.Set("20261201")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of generated tests.
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // model is the rules of a table in the plainest form: maps, and every answer found anew from all that is known.
 type model struct {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -17,15 +15,11 @@
 	"cairntiller/internal/duty"
 	"cairntiller/internal/sexp"
 	"cairntiller/internal/standin/badnet"
+	"cairntiller/internal/standin/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		f.Value.Set("20261201")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of generated tests.
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // member is a fleet of one instance with what it was told.
 type member struct {
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"hash/crc32"
 	"slices"
+
+	"cairntiller/internal/dense"
 )
 
 // verdict is what a stage makes of a command.
@@ -105,15 +107,6 @@
 	free     []int   // such indexes
 }
 
-// put sets an array's figure at an index, which may be the one behind its last.
-func put[T any](a *[]T, n int, v T) {
-	if n == len(*a) {
-		*a = append(*a, v)
-	} else {
-		(*a)[n] = v
-	}
-}
-
 // add takes a node in, at an index that was given back where there is one.
 func (s *nodes) add(id string, shard int) int {
 	n := len(s.id)
@@ -121,39 +114,39 @@
 		n, s.free = s.free[k], s.free[:k]
 	}
 	s.index[id] = n
-	put(&s.id, n, id)
-	put(&s.zone, n, "")
-	put(&s.kind, n, "")
-	put(&s.shard, n, shard)
-	put(&s.state, n, Up)
-	put(&s.listed, n, 0)
-	put(&s.lead, n, false)
-	put(&s.started, n, 0)
-	put(&s.pos, n, 0)
-	put(&s.posAt, n, 0)
-	put(&s.lag, n, 0)
-	put(&s.role, n, RoleUnknown)
-	put(&s.roleAt, n, 0)
-	put(&s.out, n, 0)
-	put(&s.open, n, nil)
-	put(&s.limit, n, 0)
-	put(&s.slow, n, 1)
-	put(&s.errs, n, 0)
-	put(&s.answered, n, 0)
-	put(&s.refused, n, 0)
-	put(&s.again, n, false)
-	put(&s.suspect, n, false)
-	put(&s.restTill, n, 0)
-	put(&s.probedAt, n, 0)
-	put(&s.probing, n, false)
-	put(&s.rate, n, 0)
-	put(&s.ratedAt, n, 0)
-	put(&s.warmRate, n, 0)
-	put(&s.credit, n, 0)
-	put(&s.creditAt, n, 0)
-	put(&s.quietAt, n, 0)
-	put(&s.left, n, false)
-	put(&s.goneAt, n, 0)
+	dense.Put(&s.id, n, id)
+	dense.Put(&s.zone, n, "")
+	dense.Put(&s.kind, n, "")
+	dense.Put(&s.shard, n, shard)
+	dense.Put(&s.state, n, Up)
+	dense.Put(&s.listed, n, 0)
+	dense.Put(&s.lead, n, false)
+	dense.Put(&s.started, n, 0)
+	dense.Put(&s.pos, n, 0)
+	dense.Put(&s.posAt, n, 0)
+	dense.Put(&s.lag, n, 0)
+	dense.Put(&s.role, n, RoleUnknown)
+	dense.Put(&s.roleAt, n, 0)
+	dense.Put(&s.out, n, 0)
+	dense.Put(&s.open, n, nil)
+	dense.Put(&s.limit, n, 0)
+	dense.Put(&s.slow, n, 1)
+	dense.Put(&s.errs, n, 0)
+	dense.Put(&s.answered, n, 0)
+	dense.Put(&s.refused, n, 0)
+	dense.Put(&s.again, n, false)
+	dense.Put(&s.suspect, n, false)
+	dense.Put(&s.restTill, n, 0)
+	dense.Put(&s.probedAt, n, 0)
+	dense.Put(&s.probing, n, false)
+	dense.Put(&s.rate, n, 0)
+	dense.Put(&s.ratedAt, n, 0)
+	dense.Put(&s.warmRate, n, 0)
+	dense.Put(&s.credit, n, 0)
+	dense.Put(&s.creditAt, n, 0)
+	dense.Put(&s.quietAt, n, 0)
+	dense.Put(&s.left, n, false)
+	dense.Put(&s.goneAt, n, 0)
 	return n
 }
 
