--- a/internal/sql/class.go
+++ b/internal/sql/class.go
@@ -21,6 +21,8 @@
 	Reason string // why it is no read
 	Tables []string
 	Calls  []string
+	// Fleeting tells that the class goes by what the session has prepared, and not by the text alone.
+	Fleeting bool
 }
 
 // Prepared tells the class of a statement prepared under a name.
@@ -389,6 +391,7 @@
 		r.raise(Session, "PREPARE") // what it prepares runs with EXECUTE
 	case "execute":
 		r.raise(Session, "EXECUTE")
+		r.out.Fleeting = true
 		if len(all) == 0 || !r.named(all[0]) {
 			r.raise(Write, "EXECUTE of nothing")
 			return nil
@@ -429,7 +432,7 @@
 			if err := inner.text(r.p.lex.text[n.tok.From:], how); err != nil {
 				return err
 			}
-			r.out.Tables, r.out.Calls = inner.out.Tables, inner.out.Calls
+			r.out.Tables, r.out.Calls, r.out.Fleeting = inner.out.Tables, inner.out.Calls, r.out.Fleeting || inner.out.Fleeting
 			r.raise(inner.out.Class, what+": "+inner.out.Reason)
 			return nil
 		}
--- a/internal/sql/lex.go
+++ b/internal/sql/lex.go
@@ -70,8 +70,16 @@
 
 // NewLexer begins a text; it is refused at once where it is too long or not UTF-8.
 func NewLexer(text string, how Strings) (*Lexer, error) {
+	l := &Lexer{}
+	if err := l.begin(text, how); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Lexer) begin(text string, how Strings) error {
 	if len(text) > MostBytes {
-		return nil, &Error{MostBytes, fmt.Sprintf("%d bytes, %d at most", len(text), MostBytes)}
+		return &Error{MostBytes, fmt.Sprintf("%d bytes, %d at most", len(text), MostBytes)}
 	}
 	if !utf8.ValidString(text) {
 		at := 0
@@ -82,12 +90,13 @@
 			}
 			at += size
 		}
-		return nil, &Error{at, "no valid UTF-8"}
+		return &Error{at, "no valid UTF-8"}
 	}
 	if i := strings.IndexByte(text, 0); i >= 0 {
-		return nil, &Error{i, "a zero byte"}
+		return &Error{i, "a zero byte"}
 	}
-	return &Lexer{text: text, strings: how}, nil
+	*l = Lexer{text: text, strings: how}
+	return nil
 }
 
 // Text is a token as it stands in the text.
