Refuse brackets that close another kind

Need: fuzzing found a text whose brackets cross, on which the shape's reading broke off with a panic. Change: the lexer keeps the kinds of open brackets; the input is kept as a test.

--- a/internal/sql/lex.go
+++ b/internal/sql/lex.go
@@ -63,6 +63,7 @@
 	at      int
 	tokens  int
 	depth   int
+	opened  [MostDepth]byte // the brackets that are open
 	// Doubtful tells that a plain text held a backslash while it is not known how the server reads it: another
 	// reading may end the text elsewhere.
 	Doubtful bool
@@ -462,13 +463,16 @@
 	case c == ':' && (next == ':' || next == '='), c == '.' && next == '.':
 		l.at++
 	case c == '(' || c == '[':
-		if l.depth++; l.depth > MostDepth {
+		if l.depth == MostDepth {
 			return &Error{from, fmt.Sprintf("brackets over %d deep", MostDepth)}
 		}
+		l.opened[l.depth] = c
+		l.depth++
 	case c == ')' || c == ']':
-		if l.depth--; l.depth < 0 {
+		if l.depth == 0 || (l.opened[l.depth-1] == '(') != (c == ')') {
 			return &Error{from, "a closing bracket without its opening one"}
 		}
+		l.depth--
 	}
 	return nil
 }
--- a/internal/sql/lex_test.go
+++ b/internal/sql/lex_test.go
@@ -96,6 +96,7 @@
 		"0x":                                 "0: a number without digits",
 		"1e":                                 "1: an exponent without digits",
 		"a)":                                 "1: a closing bracket without its opening one",
+		"a[)0":                               "2: a closing bracket without its opening one",
 		"a {":                                "2: the character '{'",
 		"a\xffb":                             "1: no valid UTF-8",
 		"a\x00b":                             "1: a zero byte",
