--- /dev/null
+++ b/cmd/cairntiller/classify.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"cairntiller/internal/sexp"
+	"cairntiller/internal/sql"
+)
+
+type classifyLine struct {
+	Input string `arg:"" optional:"" name:"statements" help:"A file of statements; standard input without one."`
+	File  string `type:"existingfile" placeholder:"FILE" help:"The operator's file, whose part statements tells of functions, types and views."`
+	Lines bool   `help:"One statement a line. Otherwise a line that holds only ;; parts them."`
+}
+
+// Run prints class, cost, shape, route and reason of each statement, with tabs between; a dash for what is not known.
+func (l *classifyLine) Run(out io.Writer) error {
+	file, err := sexp.Empty(), error(nil)
+	if l.File != "" {
+		if file, err = sexp.ReadFile(l.File); err != nil {
+			return err
+		}
+	}
+	k := sql.ReadKnowledge(file.Part("statements"))
+	if l.File != "" {
+		file.Part("fleet").Skip()
+		file.Part("duties").Skip()
+		if err := file.Faults(); err != nil {
+			return err
+		}
+	}
+	in := io.Reader(os.Stdin)
+	if l.Input != "" {
+		f, err := os.Open(l.Input)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		in = f
+	}
+	cache, err := sql.NewCache(k.Catalogue, k.Strings, k.Room)
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(out)
+	defer w.Flush()
+	reader := cache.Reader()
+	return statements(in, l.Lines, func(text string) error {
+		e, _, err := reader.Read(text, nil)
+		if err != nil {
+			_, err = fmt.Fprintf(w, "refused\t-\t-\t-\t%v\n", err)
+			return err
+		}
+		reason := e.Reason
+		if reason == "" {
+			reason = "-"
+		}
+		_, err = fmt.Fprintf(w, "%v\t-\t%s\t-\t%s\n", e.Class, e.Shape, oneLine(reason))
+		return err
+	})
+}
+
+// oneLine keeps a name with a tab or a line's end in it from being taken for more.
+func oneLine(s string) string {
+	return strings.NewReplacer("\t", " ", "\n", " ", "\r", " ").Replace(s)
+}
+
+// statements gives each statement of an input to do, in turn.
+func statements(in io.Reader, lines bool, do func(string) error) error {
+	r := bufio.NewReader(in)
+	var text strings.Builder
+	some := false // the statement under way has a line
+	flush := func() error {
+		one := strings.TrimRight(text.String(), "\r\n")
+		text.Reset()
+		some = false
+		return do(one)
+	}
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil && err != io.EOF {
+			return err
+		}
+		switch {
+		case lines && line != "":
+			text.WriteString(line)
+			if err := flush(); err != nil {
+				return err
+			}
+		case !lines && strings.TrimSpace(line) == ";;":
+			if err := flush(); err != nil {
+				return err
+			}
+		case line != "":
+			some = true
+			text.WriteString(line)
+		}
+		if err == io.EOF {
+			if some {
+				return flush()
+			}
+			return nil
+		}
+	}
+}
--- a/cmd/cairntiller/main.go
+++ b/cmd/cairntiller/main.go
@@ -24,10 +24,11 @@
 type line struct {
 	Log slog.Level `default:"info" placeholder:"LEVEL" help:"Least level of what is logged: debug, info, warn or error."`
 
-	Run     runLine     `cmd:"" default:"withargs" help:"Run a router. This is what happens without a command."`
-	Check   checkLine   `cmd:"" help:"Read an operator's file and name every fault in it with its place."`
-	Version versionLine `cmd:"" help:"Print the version."`
-	Demo    demoLine    `cmd:"" help:"Show a router at work before stand-in nodes on this machine, with a primary that dies half-way."`
+	Run      runLine      `cmd:"" default:"withargs" help:"Run a router. This is what happens without a command."`
+	Check    checkLine    `cmd:"" help:"Read an operator's file and name every fault in it with its place."`
+	Classify classifyLine `cmd:"" help:"Class statements, as a file or standard input gives them: class, cost, shape, route and reason of each."`
+	Version  versionLine  `cmd:"" help:"Print the version."`
+	Demo     demoLine     `cmd:"" help:"Show a router at work before stand-in nodes on this machine, with a primary that dies half-way."`
 }
 
 type runLine struct {
--- a/cmd/cairntiller/main_test.go
+++ b/cmd/cairntiller/main_test.go
@@ -78,3 +78,40 @@
 		t.Errorf("%d, %s", code, errs)
 	}
 }
+
+// TestClassify: a line for each statement, whatever is in it.
+func TestClassify(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		t.Helper()
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	in := write("in", "select 1\n;;\nselect a\nfrom b\n ;; \ndelete from a\n;;\nselect 'a\n;;\nselect f(1)")
+	file := write("file", `(statements (harmless f)) (fleet (name "a") (listen "127.0.0.1:1"))`)
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"classify", in}, "read read write refused write"},
+		{[]string{"classify", "--file", file, in}, "read read write refused read"},
+		{[]string{"classify", "--lines", write("lines", "select 1\n\nupdate a set b = 1\n;;\nbegin")}, "read read write read transaction"},
+		{[]string{"classify", write("none", "")}, ""},
+	} {
+		code, out, errs := called(t, c.args...)
+		var classes []string
+		for line := range strings.Lines(out) {
+			f := strings.Split(strings.TrimSuffix(line, "\n"), "\t")
+			if len(f) != 5 {
+				t.Errorf("%q", line)
+			}
+			classes = append(classes, f[0])
+		}
+		if got := strings.Join(classes, " "); code != 0 || got != c.want {
+			t.Errorf("%v: %d, %s, want %s: %s", c.args, code, got, c.want, errs)
+		}
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -30,6 +30,7 @@
 	"cairntiller/internal/patrol"
 	"cairntiller/internal/route"
 	"cairntiller/internal/sexp"
+	"cairntiller/internal/sql"
 	"cairntiller/internal/stream"
 )
 
@@ -118,6 +119,7 @@
 		if file, err = sexp.ReadFile(path); err != nil {
 			return at, pace, err
 		}
+		sql.ReadKnowledge(file.Part("statements")) // its faults; for classify, no router uses it yet
 	}
 	own, duties := file.Part("fleet"), file.Part("duties")
 	at, pace = fleet.Read(own, name), patrol.Read(duties)
--- a/internal/sexp/sexp.go
+++ b/internal/sexp/sexp.go
@@ -268,6 +268,15 @@
 	return sub
 }
 
+// Skip leaves a part's names to whom it sets up.
+func (p *Part) Skip() {
+	for _, one := range p.items {
+		if one.List != nil && len(one.List.Items) > 0 && one.List.Items[0].Word != nil {
+			p.taken[*one.List.Items[0].Word] = true
+		}
+	}
+}
+
 // unknown finds the names that nobody asked for.
 func (p *Part) unknown() {
 	for _, one := range p.items {
--- /dev/null
+++ b/internal/sql/read_test.go
@@ -0,0 +1,30 @@
+package sql
+
+import (
+	"strings"
+	"testing"
+
+	"cairntiller/internal/sexp"
+)
+
+func TestKnowledge(t *testing.T) {
+	f, err := sexp.Read("f", []byte(`(statements (harmless shop.price) (session enter) (writes lower) (types mood) (writing-views v) (strings standard) (cache 1MiB))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := ReadKnowledge(f.Part("statements"))
+	if err := f.Faults(); err != nil || k.Room != 1<<20 || k.Strings != Standard {
+		t.Errorf("%+v, %v", k, err)
+	}
+	for text, want := range map[string]Class{"select shop.price(1), upper(x)": Read, "select enter()": Session, "select lower(x)": Write,
+		"select 'a'::mood": Read, "select * from v": Write, "select pg_catalog.lower(x)": Write} {
+		if s, err := k.Catalogue.Classify(text, k.Strings, nil); err != nil || s.Class != want {
+			t.Errorf("%q: %+v, %v", text, s, err)
+		}
+	}
+	f, _ = sexp.Read("f", []byte(`(statements (harmless a) (writes a) (strings odd))`))
+	ReadKnowledge(f.Part("statements"))
+	if err := f.Faults(); err == nil || !strings.Contains(err.Error(), "a second time") || !strings.Contains(err.Error(), "found odd") {
+		t.Error(err)
+	}
+}
