Hold refusals of a megabyte to their room

Need: hostile texts must cost little. Change: a test of the bytes and a benchmark of the time over six kinds of malformed text.

--- a/internal/sql/shape_test.go
+++ b/internal/sql/shape_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -170,3 +171,55 @@
 		}
 	}
 }
+
+// TestRefusalsAreCheap: a megabyte that can't be read costs bounded room, whatever is wrong with it. Time is a
+// benchmark's (BenchmarkRefusal).
+func TestRefusalsAreCheap(t *testing.T) {
+	c, err := NewCache(NewCatalogue(), Standard, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for what, text := range malformed() {
+		r := c.Reader()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, _, err := r.Read(text, nil)
+		runtime.ReadMemStats(&after)
+		if err == nil {
+			t.Errorf("%s is read", what)
+		}
+		if n := after.TotalAlloc - before.TotalAlloc; n > 4<<20 {
+			t.Errorf("%s: %d bytes to refuse it", what, n)
+		}
+	}
+}
+
+func malformed() map[string]string {
+	const n = 1<<20 - 64
+	return map[string]string{
+		"a text without end":    "select '" + strings.Repeat("a", n),
+		"a comment without end": "select " + strings.Repeat("/*", n/2),
+		"brackets":              strings.Repeat("(", n),
+		"too many tokens":       "select " + strings.Repeat("a,", n/2),
+		"names, then a brace":   "select " + strings.Repeat("abcdefghijklmnopqrstuvwxyz ", n/54) + "{",
+		"no UTF-8":              "select " + strings.Repeat("a ", n/2) + "\xff",
+	}
+}
+
+func BenchmarkRefusal(b *testing.B) {
+	c, err := NewCache(NewCatalogue(), Standard, 1<<20)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for what, text := range malformed() {
+		b.Run(what, func(b *testing.B) {
+			b.ReportAllocs()
+			r := c.Reader()
+			for b.Loop() {
+				if _, _, err := r.Read(text, nil); err == nil {
+					b.Fatal("read")
+				}
+			}
+		})
+	}
+}
