--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -4,7 +4,7 @@
 // calls give the same actions.
 //
 // A duty has a holder, who runs it, and a term, which grows with each claim. The member that rendezvous hashing
-// puts first among the working ones is its target. A claim is made in three cases only:
+// puts first among those that live and deliver is its target. A claim is made in three cases only:
 //
 //   - the holder is gone, and this instance is the target;
 //   - another one holds it, this instance is the target and has not lately given it up (it is handed back);
