Take words that may name functions for calls unless an operand stands before them

Need: rereading the change found that FULL, CROSS, JOIN, LIKE, ROWS and others, which PostgreSQL lets name functions and types, hid a call: select full(1) was called a read.

--- a/internal/sql/class.go
+++ b/internal/sql/class.go
@@ -69,10 +69,15 @@
 	if p.lex.Doubtful {
 		r.raise(Write, "where a text ends depends on standard_conforming_strings, which is not known")
 	}
-	single := p.nodes[p.all.first].next == 0 || p.nodes[p.nodes[p.all.first].next].kind == nNothing && p.nodes[p.nodes[p.all.first].next].next == 0
+	some := 0
+	for at := p.all.first; at != 0; at = p.nodes[at].next {
+		if p.nodes[at].kind != nNothing {
+			some++
+		}
+	}
 	for at := p.all.first; at != 0; at = p.nodes[at].next {
 		if p.nodes[at].kind == nOther {
-			if err := r.other(at, single, how); err != nil {
+			if err := r.other(at, some == 1, how); err != nil {
 				return err
 			}
 			continue
@@ -112,14 +117,11 @@
 	case "from", "table":
 		r.from(n.first)
 		return
-	case "order", "group": // BY (...)
-		r.row(n.first, func(k int) place {
-			if k == 1 {
-				return behindName
-			}
-			return anywhere
-		})
-		return
+	case "order", "group":
+		if n.first != 0 && r.word(n.first) == "by" {
+			r.row(r.p.nodes[n.first].next, nil)
+			return
+		}
 	case "with":
 		r.row(n.first, func(int) place { return behindName }) // name (columns) AS (...)
 		return
@@ -148,28 +150,47 @@
 	return n.kind == nAtom && (n.tok.Kind == Word || n.tok.Kind == Quoted)
 }
 
-func (r *reader) dot(at int32) bool {
+// mark tells whether a node is a certain mark.
+func (r *reader) mark(at int32, text string) bool {
 	n := &r.p.nodes[at]
-	return n.kind == nAtom && n.tok.Kind == Mark && r.p.lex.Text(n.tok) == "."
+	return n.kind == nAtom && n.tok.Kind == Mark && r.p.lex.Text(n.tok) == text
 }
 
 // path is the name that ends at an index of a row, and where it begins.
 func (r *reader) path(all []int32, end int) (name string, from int) {
 	name, from = r.p.lex.Name(r.p.nodes[all[end]].tok), end
-	for from >= 2 && r.dot(all[from-1]) && r.named(all[from-2]) {
+	for from >= 2 && r.mark(all[from-1], ".") && r.named(all[from-2]) {
 		from -= 2
 		name = r.p.lex.Name(r.p.nodes[all[from]].tok) + "." + name
 	}
 	return name, from
 }
 
-// noCall are words that a bracket may follow and that can name no function: PostgreSQL reserves them.
+// pathFrom is the name that begins at an index of a row.
+func (r *reader) pathFrom(all []int32, k int) string {
+	for k+2 < len(all) && r.mark(all[k+1], ".") && r.named(all[k+2]) {
+		k += 2
+	}
+	name, _ := r.path(all, k)
+	return name
+}
+
+// relation notes a relation that is read.
+func (r *reader) relation(name string) {
+	r.out.Tables = append(r.out.Tables, name)
+	if r.c.writers[name] {
+		r.raise(Write, "the relation "+name+" writes when it is read")
+	}
+}
+
+// noCall are words that a bracket or a text may follow and that can name no function and no type, by the table of key
+// words in appendix C of PostgreSQL's manual. Those that it calls "can be function or type" (CROSS, FULL, LIKE and others)
+// stand apart on purpose: what they are hangs on what stands before them.
 var noCall = func() map[string]bool {
 	all := map[string]bool{}
-	for _, one := range strings.Fields(`all and any array as asc between case cast collate cross desc distinct else end except exists false from
-		full group having ilike in inner intersect is isnull join lateral like limit natural not notnull null offset on only or order
-		outer select similar some symmetric table then true union using values when where window with for into fetch variadic
-		row setof`) {
+	for _, one := range strings.Fields(`all and any array as asc asymmetric between both case cast collate default desc distinct else end
+		except exists false fetch for from group having in intersect into lateral leading limit not null offset on only or order
+		placing row select setof some symmetric table then to trailing true union using values variadic when where window with`) {
 		all[one] = true
 	}
 	return all
@@ -222,14 +243,14 @@
 			r.typed(all, k+1)
 		}
 	case Text:
-		if k > 0 && r.named(all[k-1]) && !r.beforeText(all, k-1) {
+		if k > 0 && r.named(all[k-1]) && !r.leads(all, k-1) {
 			name, _ := r.path(all, k-1)
 			if !r.c.knownType(name) {
 				r.raise(Write, "a text as "+name+", a type that is not known")
 			}
 		}
 	case Word, Quoted:
-		if k >= 2 && r.dot(all[k-1]) { // t.f may call f(t)
+		if k >= 2 && r.mark(all[k-1], ".") { // t.f may call f(t)
 			name := r.p.lex.Name(n.tok)
 			if v, known := r.c.functions[name]; known && v != Harmless {
 				r.raise(Write, "the attribute "+name+" may call a function")
@@ -241,29 +262,59 @@
 	}
 }
 
-// beforeText tells whether a word before a text is part of an expression, and names no type.
-func (r *reader) beforeText(all []int32, k int) bool {
+// leads tells whether a word before a text is part of an expression, and names no type.
+func (r *reader) leads(all []int32, k int) bool {
 	switch word := r.word(all[k]); word {
 	case "":
 		return false
-	case "escape", "uescape", "zone", "to", "by", "returning", "set", "year", "placing", "leading", "trailing", "both":
-		return true
+	case "like", "ilike", "escape", "uescape":
+		return r.operand(all, k-1, true)
+	case "by":
+		return r.by(all, k)
+	case "zone":
+		return k > 0 && r.word(all[k-1]) == "time"
 	default:
 		return noCall[word]
 	}
 }
 
+// by tells whether the BY at an index of a row within brackets belongs to what stands before it.
+func (r *reader) by(all []int32, k int) bool {
+	if k == 0 {
+		return false
+	}
+	before := r.word(all[k-1])
+	return before == "partition" || before == "order" || before == "group"
+}
+
+// operand tells whether an operand ends at an index of a row, so that LIKE behind it is an operator. A bare word is
+// one only where the caller takes it for a column: it may as well be a key word that an expression follows.
+func (r *reader) operand(all []int32, k int, columns bool) bool {
+	if k < 0 {
+		return false
+	}
+	if n := &r.p.nodes[all[k]]; n.kind != nAtom {
+		return n.kind == nParen || n.kind == nBracket
+	} else if n.tok.Kind != Word {
+		return n.tok.Kind != Operator && n.tok.Kind != Mark
+	}
+	word := r.word(all[k])
+	switch {
+	case k > 0 && r.mark(all[k-1], "."):
+		return true
+	case word == "not":
+		return r.operand(all, k-1, columns)
+	}
+	return columns && !noCall[word] && word != "by" && word != "zone" && word != "escape"
+}
+
 // typed reads the type that begins at an index.
 func (r *reader) typed(all []int32, k int) {
 	if k >= len(all) || !r.named(all[k]) {
 		r.raise(Write, "a cast to what is no type")
 		return
 	}
-	end := k
-	for end+2 < len(all) && r.dot(all[end+1]) && r.named(all[end+2]) {
-		end += 2
-	}
-	if name, _ := r.path(all, end); !r.c.knownType(name) {
+	if name := r.pathFrom(all, k); !r.c.knownType(name) {
 		r.raise(Write, "a cast to "+name+", a type that is not known")
 	}
 }
@@ -280,10 +331,13 @@
 		if noCall[word] {
 			return
 		}
+		if (word == "like" || word == "ilike") && r.operand(all, k-2, false) {
+			return
+		}
 		if (word == "over" || word == "filter") && k >= 2 && r.p.nodes[all[k-2]].kind == nParen {
 			return
 		}
-		if word == "by" && k >= 2 && (r.word(all[k-2]) == "partition" || r.word(all[k-2]) == "order" || r.word(all[k-2]) == "group") {
+		if word == "by" && r.by(all, k-1) {
 			return
 		}
 	}
@@ -291,7 +345,7 @@
 		switch before := r.word(all[from-1]); {
 		case before == "as": // a list of columns, or a type with its length
 			return
-		case r.behindCast(all, from): // x::numeric(10, 2)
+		case r.mark(all[from-1], "::"): // x::numeric(10, 2)
 			return
 		}
 	}
@@ -304,64 +358,44 @@
 	}
 }
 
-func (r *reader) behindCast(all []int32, from int) bool {
-	n := &r.p.nodes[all[from-1]]
-	return n.kind == nAtom && n.tok.Kind == Mark && r.p.lex.Text(n.tok) == "::"
-}
-
 // from reads what stands behind FROM: relations, queries and functions, each with its alias, and conditions.
 func (r *reader) from(first int32) {
 	all := r.siblings(first)
-	expect, on := true, false
+	expect, on, own := true, false, -1 // a relation is due; a condition is being read; the bracket of a function's call
 	places := map[int]place{}
 	for k, at := range all {
 		n := &r.p.nodes[at]
 		word := r.word(at)
 		switch {
-		case n.kind == nAtom && n.tok.Kind == Mark && r.p.lex.Text(n.tok) == ",", word == "join":
+		case r.mark(at, ","), word == "join" && !expect:
 			expect, on = true, false
 		case word == "on" || word == "using":
 			on = true
-		case word == "only" || word == "lateral" || word == "rows":
+		case word == "only" || word == "lateral" || word == "rows" && k == len(all)-1: // ROWS FROM (...)
 		case expect && r.named(at):
-			if k+1 < len(all) && (r.dot(all[k+1]) || r.p.nodes[all[k+1]].kind == nParen) {
-				if r.p.nodes[all[k+1]].kind == nParen {
-					expect = false // a function's call, which row reads
-				}
-				continue
-			}
-			name, _ := r.path(all, k)
-			r.out.Tables = append(r.out.Tables, name)
-			if r.c.writers[name] {
-				r.raise(Write, "the relation "+name+" writes when it is read")
+			if k+1 < len(all) && r.mark(all[k+1], ".") {
+				continue // its schema
 			}
 			expect = false
+			if k+1 < len(all) && r.p.nodes[all[k+1]].kind == nParen {
+				own = k + 1
+			} else {
+				name, _ := r.path(all, k)
+				r.relation(name)
+			}
 		case expect && n.kind == nParen:
+			expect, places[k] = false, behindName // JOIN (...)
 			if inner := &r.p.nodes[n.first]; inner.kind == nRow {
 				r.from(inner.first)
 				places[k] = readBefore
 			}
-			expect = false
-		case !expect && !on && n.kind == nParen:
-			if k > 0 && r.named(all[k-1]) && !r.isCall(all, k) { // a list of columns behind an alias
-				places[k] = behindName
-			}
+		case !on && n.kind == nParen && k != own: // a list of columns behind an alias
+			places[k] = behindName
 		}
 	}
 	r.row(first, func(k int) place { return places[k] })
 }
 
-// isCall tells whether the bracket at an index of FROM is a function's own, and not an alias's.
-func (r *reader) isCall(all []int32, k int) bool {
-	_, from := r.path(all, k-1)
-	if from == 0 {
-		return true
-	}
-	n := &r.p.nodes[all[from-1]]
-	word := r.word(all[from-1])
-	return word == "join" || word == "lateral" || n.kind == nAtom && n.tok.Kind == Mark && r.p.lex.Text(n.tok) == ","
-}
-
 // other reads a statement that its first word names. single tells that it is alone in its text.
 func (r *reader) other(at int32, single bool, how Strings) error {
 	n := r.p.nodes[at]
@@ -479,15 +513,7 @@
 			if first := &r.p.nodes[all[0]]; first.kind == nParen {
 				r.walk(first.first)
 			} else if r.named(all[0]) {
-				end := 0
-				for end+2 < len(all) && r.dot(all[end+1]) && r.named(all[end+2]) {
-					end += 2
-				}
-				name, _ := r.path(all, end)
-				r.out.Tables = append(r.out.Tables, name)
-				if r.c.writers[name] {
-					r.raise(Write, "the relation "+name+" writes when it is read")
-				}
+				r.relation(r.pathFrom(all, 0))
 			}
 			return
 		}
--- a/internal/sql/class_test.go
+++ b/internal/sql/class_test.go
@@ -56,6 +56,8 @@
 		"select distinct on (a) a, b from c order by a, (b)", "select a from t where b = any (array[1, 2]) and c <> all ('{1}')",
 		"select x as update, y as values from t", "SELECT \"Sum\" FROM t", "select 'insert into a' /* delete */ -- update\n",
 		"select a from b group by (a) order by (a), (select c from d)", "select sum(a) over (order by (b)) from c",
+		"select * from a join (select 1) b on true full outer join c using (x) natural left join (d cross join e)",
+		"select a.b like ('x'), 'y' not like (c), (d) ilike (e), f not ilike 'z' escape '!' from g",
 		"select coalesce(a, b), greatest(1, 2), left(x, 3), jsonb_agg(row_to_json(t)) from t",
 	} {
 		if s := classed(t, c, text); s.Class != Read {
@@ -89,6 +91,11 @@
 		"select t.audit from t", "select (t).audit from t", "select * from audit_view", "select 1 union select nextval('s')",
 		"declare c cursor for select f(1)", "select over(1)", "select filter(1)", "select a, filter(1) from t", "select \"nextval\"('s')",
 		"SELECT/**/NEXTVAL/**/('s')", "select U&\"nextval\"('s')", "select pg_terminate_backend(1)", "select pg_read_file('x')",
+		"select full(1)", "select cross(1)", "select inner(1)", "select natural(1)", "select outer(1)", "select similar(1)", "select isnull(1)",
+		"select notnull(1)", "select is(1)", "select join(1)", "select like(1)", "select ilike(1, 2)", "select not like(1)",
+		"select 1 order by like(1)", "select * from join(1)", "select * from a, join(1)", "select * from rows(1)", "select * from a, rows(1) b",
+		"select * from a cross join join(1)", "select * from (a join join(1) on true)", "select zone 'x'", "select year 'x'",
+		"select escape 'x'", "select by 'x'", "select full 'x'", "select like 'x'", "select * from a on like(1)",
 		"select by(1)", "select partition(1)", "with f(x) as (select 1) select f(1)", "select a from t a where exists (select f(1))",
 		"select from a select", "select 1 )) from", "garbage", "select 1 from a where b = c ; ; with x as (select 1)",
 	} {
