Simplify what the rereading found in shared duties

Need: state, code and a condition that nothing used; a word put on the wire in two places; a bound on members kept that one call went past.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -16,7 +16,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -254,22 +253,16 @@
 // few tells whether so many live instances are the smaller part of those there are.
 func (t *Table) few(live int) bool { return 2*live < max(t.most, t.size) }
 
-// Returned tells how often this instance came back lately, as others saw it; the more often, the longer it waits
-// before it works again.
+// Returned tells how often this instance came back lately, as others saw it, once at least; the more often, the longer
+// it waits before it works again.
 func (t *Table) Returned(now int64, times int) {
 	if now-t.backAt > calmFor {
 		t.returns = 0
 	}
-	t.returns = max(t.returns, times)
-	if times > 0 {
-		t.backAt = now
-		t.working = false
-		t.workAt = max(t.workAt, now+t.settle())
-	}
+	t.returns, t.backAt, t.working = max(t.returns, times), now, false
+	t.workAt = max(t.workAt, now+settleFirst<<min(t.returns-1, settleMost))
 }
 
-func (t *Table) settle() int64 { return settleFirst << min(max(t.returns-1, 0), settleMost) }
-
 // Returns is how often a member came back lately, to be told to it.
 func (t *Table) Returns(name string) int {
 	if m, known := t.member.index[name]; known {
@@ -704,16 +697,6 @@
 	return t.taken, t.moved, t.alive(), slow
 }
 
-// Keys are the duties, in order.
-func (t *Table) Keys() []string {
-	keys := make([]string, 0, len(t.duty.index))
-	for key := range t.duty.index {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Left tells whether another instance runs a duty and is heard of in time, so that nobody else need look there.
 func (t *Table) Left(now int64, key string) bool {
 	d, known := t.duty.index[key]
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -328,9 +328,10 @@
 // Returns notes how often a member came back, to be told to it.
 func (f *Fleet) Returns(name string, times int) {
 	f.mu.Lock()
-	one := f.seen[name]
-	one.Name, one.Times = name, times
-	f.seen[name] = one
+	if one, known := f.seen[name]; known { // the bound on those kept is where they come up
+		one.Times = times
+		f.seen[name] = one
+	}
 	f.mu.Unlock()
 }
 
@@ -459,8 +460,7 @@
 			delete(f.board, key)
 			continue
 		}
-		s.Words = append(s.Words, word{Key: w.Key, Holder: w.Holder, Term: w.Term, Age: w.Age, Started: w.Started,
-			Silent: w.Silent, Pos: w.Pos, Lead: w.Lead, Load: w.Load})
+		s.Words = append(s.Words, onWire(w))
 	}
 	return encode(s)
 }
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -98,6 +98,11 @@
 	return raw
 }
 
+func onWire(w duty.Word) word {
+	return word{Key: w.Key, Holder: w.Holder, Term: w.Term, Age: w.Age, Started: w.Started, Silent: w.Silent, Pos: w.Pos,
+		Lead: w.Lead, Load: w.Load}
+}
+
 // pack encodes words in envelopes that each fit a datagram.
 func pack(origin string, words []duty.Word) (packed [][]byte) {
 	var parts [][]byte
@@ -114,15 +119,13 @@
 		parts, size = nil, 0
 	}
 	for _, w := range words {
-		holder := w.Holder
-		if holder == origin {
-			holder = ""
+		if w.Holder == origin {
+			w.Holder = ""
 		}
 		if len(w.Load) > mostLoad {
 			w.Load = ""
 		}
-		one := encode(word{Key: w.Key, Holder: holder, Term: w.Term, Age: w.Age, Started: w.Started, Silent: w.Silent,
-			Pos: w.Pos, Lead: w.Lead, Load: w.Load})
+		one := encode(onWire(w))
 		if size+len(one) > mostEnvelope {
 			flush()
 		}
--- a/internal/patrol/patrol.go
+++ b/internal/patrol/patrol.go
@@ -56,7 +56,6 @@
 
 // Patrol is one instance's part in the shared duties.
 type Patrol struct {
-	now    func() int64
 	engine Engine
 	fleet  *fleet.Fleet
 	table  *duty.Table
@@ -71,7 +70,7 @@
 
 // Start joins the fleet and begins to share. It is called before the engine runs.
 func Start(now func() int64, engine Engine, at fleet.Place, pace Pace, wrap fleet.Wrap) (*Patrol, error) {
-	p := &Patrol{now: now, engine: engine, asked: map[string]bool{}, listed: map[string]bool{}, left: map[string]bool{}}
+	p := &Patrol{engine: engine, asked: map[string]bool{}, listed: map[string]bool{}, left: map[string]bool{}}
 	on := func(do func(now int64)) { engine.Post(now(), do) } // none is handled before the engine runs
 	f, err := fleet.Start(at, fleet.Events{
 		Up: func(name string, weight float64, born uint64) {
