Ask for unknown primaries only, know first tries by the majority, warm nodes sooner

Change: lead() asks only where none is known, listed, heard or reached; first() finds first tries by a majority vote; refill() gives 0.45 of the multiple to a cold node and up to 0.75 as it warms. A test each, which fails without it.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -31,6 +31,7 @@
 	gateLeast     = 0.05    // of the reads always let in, for they show when it is over
 	standstill    = 100_000 // us without a beat: five of them
 	silenceLeast  = 250_000 // us; shorter silences are pauses that end before a move would help
+	firstVotes    = 50      // tries that another time must outnumber before it counts as that of first ones
 	holdUsual     = 3.0     // usual responses to leave before the target: nineteen in twenty then end in time
 	holdLeast     = 0.1     // of the target: the wait that a read gets even where responses are slow
 	usualPart     = 0.25    // of the target: response time supposed before any is seen
@@ -57,6 +58,7 @@
 	shareBurst    = 3.0     // commands that a tenant may save up: its part at one router may be a fraction
 	spareShare    = 0.5     // of a node's limit is open to commands worth little
 	coldPart      = 0.45    // of the multiple that pushes a cold node over: chance and work sizes take the rest
+	coldMore      = 0.3     // of it more by the time it is warm: the more it can do, the less chance weighs
 	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
 	rateSpan      = 2e6     // us over which a node's answered work is averaged
@@ -260,8 +262,8 @@
 		c.need = now - sinceWrite
 	}
 	target := now + g.targets[group]
-	if g.longest[group] = max(g.longest[group], left); left < g.longest[group]-2*r.tick {
-		target -= g.timeout[group] - left // a later try of a client: all its tries share one target
+	if !r.first(group, left) {
+		target -= max(0, g.timeout[group]-left) // a later try of a client: all its tries share one target
 	}
 	// Sent later than two usual responses before a limit, most answers would come after it.
 	need, least := int64(holdUsual*g.usual[group]), int64(holdLeast*float64(g.targets[group]))
@@ -277,6 +279,22 @@
 	r.down(c, now)
 }
 
+// first tells whether a try is a client's first: a later one leaves another time than most tries do, which is
+// kept by the vote of Boyer and Moore. First ones may leave less than the timeout, last ones all that is left.
+func (r *Router) first(group int, left int64) bool {
+	g := &r.group
+	same := max(left-g.firstLeft[group], g.firstLeft[group]-left) <= 2*r.tick
+	switch {
+	case same:
+		g.firstLead[group] = min(g.firstLead[group]+1, firstVotes)
+	case g.firstLead[group] > 0:
+		g.firstLead[group]--
+	default:
+		g.firstLeft[group], g.firstLead[group], same = left, 1, true
+	}
+	return same
+}
+
 // down takes a command through the chain; a kept one waits, in order of value and age.
 func (r *Router) down(c *cmd, now int64) {
 	for _, st := range r.chain {
@@ -459,27 +477,29 @@
 			peers++
 		}
 	}
-	allowed := max(coldUnknown/float64(r.siblings), coldPart*r.fallMultiple*warmth*rate/float64(max(peers, 1)))
+	part := (coldPart + coldMore*warmth) * r.fallMultiple
+	allowed := max(coldUnknown/float64(r.siblings), part*warmth*rate/float64(max(peers, 1)))
 	s.credit[n] = min(coldBurst*r.group.usual[g], s.credit[n]+allowed*float64(now-s.creditAt[n])/1e6)
 	s.creditAt[n] = now
 }
 
 // lead sends writes and reads that must be current to the believed primary, or keeps them for one. While
-// none is known a write itself asks, with up to half its dispatches, for a miss leaves it untouched.
+// none is known a write itself asks, with up to half its dispatches, for a miss leaves it untouched. One that
+// only rests is known all the same: to ask for it again would cost probes and bring nothing.
 func (r *Router) lead(c *cmd, now int64) verdict {
 	lv, p := r.group.level[c.group], r.shard.primary[c.shard]
 	if lv != Write && lv != Fresh {
 		return pass
 	}
 	c.to = p
-	if p < 0 || !r.serves(p, now) {
+	if s := &r.node; p < 0 || !r.serves(p, now) && (!r.listed(p) || s.suspect[p] || s.refused[p] > 0) {
 		c.to = r.ask(c.shard, now)
 		if c.to < 0 || lv != Write || 2*len(c.tries) >= r.maxDispatches || !r.serves(c.to, now) ||
 			now-r.node.answered[c.to] > listDoubt {
 			return keep
 		}
 	}
-	if lv == Fresh && r.node.role[c.to] != Primary || !r.roomy(c.to, 1, c.group, now) {
+	if lv == Fresh && r.node.role[c.to] != Primary || !r.serves(c.to, now) || !r.roomy(c.to, 1, c.group, now) {
 		return keep
 	}
 	return pass
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -652,3 +652,71 @@
 		t.Error("no primary found among the present nodes but", sentTo(w))
 	}
 }
+
+// A primary that rests between commands is known all the same. Guards against probes through its whole group, each
+// 50 ms, that 300 routers pay for while their limits pace them.
+func TestARestingPrimaryIsNotAskedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		rest   func(r *Router, now int64)
+		probes bool
+	}{
+		"rests":           {func(r *Router, now int64) { r.node.restTill[0] = now + 2e6 }, false},
+		"not reached":     {func(r *Router, now int64) { r.node.restTill[0], r.node.refused[0] = now+2e6, now }, true},
+		"silent":          {func(r *Router, now int64) { r.node.suspect[0] = true }, true},
+		"nobody is known": {func(r *Router, now int64) { r.shard.primary[0] = -1 }, true},
+	} {
+		w := group(t, 1, 3)
+		w.r.node.left = []bool{true, true, true} // no probes but a write's own
+		c.rest(w.r, w.now)
+		w.arrive("w", gMutating, 0, 4e6, 0)
+		w.beats(50)
+		if len(w.probes) > 0 != c.probes || len(w.open) > 0 {
+			t.Error(name, "probes:", len(w.probes), "out:", len(w.open))
+		}
+	}
+}
+
+// First tries may leave less than their group's whole timeout, and a last one all that is left of it. Guards against
+// first tries that were taken for later ones, and so for worth nothing after a fraction of their time.
+func TestFirstTriesAreTheMany(t *testing.T) {
+	w := group(t, 1, 2)
+	w.r.node.restTill = []int64{w.now + 9e6, w.now + 9e6} // all wait
+	target := func(id string, left int64) int64 {
+		w.arrive(id, gAny, 0, left, 0)
+		return w.r.cmds[id].prime - w.now
+	}
+	first := target("a", 830_000)
+	for i, c := range []struct {
+		left  int64
+		later bool
+	}{{830_000, false}, {831_000, false}, {990_000, true}, {830_000, false}, {300_000, true}, {829_000, false}} {
+		if got := target(fmt.Sprint("b", i), c.left); got < first != c.later {
+			t.Errorf("%d: %d us left of a second: to be sent within %d us, a first try %d", i, c.left, got, first)
+		}
+	}
+	for i := range 40 { // clients that leave another time, from here on
+		target(fmt.Sprint("c", i), 500_000)
+	}
+	if got := target("d", 500_000); got < first {
+		t.Errorf("what most leave is still taken for a later try: %d us, a first one %d", got, first)
+	}
+}
+
+// The part of its budget that a cold node is given grows with its warmth, and stays under the whole of it.
+func TestColdNodesGetMoreAsTheyWarm(t *testing.T) {
+	w := group(t, 1, 2)
+	s := &w.r.node
+	s.warmRate[1] = 500_000
+	s.started[0] = w.now
+	last := 0.0
+	for _, at := range []int64{0, modelCold / 2, modelCold - 1000} {
+		s.credit[0], s.creditAt[0] = -1e6, w.now+at-1e6 // a second of it, far from its bound
+		warmth := w.r.warmth(0, w.now+at)
+		w.r.refill(0, gAny, warmth, w.now+at)
+		part := (s.credit[0] + 1e6) / (2 * warmth * s.warmRate[1])
+		if part <= last || part < coldPart || part > 0.8 {
+			t.Errorf("at warmth %.2f: %.2f of the budget, %.2f before", warmth, part, last)
+		}
+		last = part
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -203,7 +203,8 @@
 	window     []int64
 	targets    []int64
 	timeout    []int64
-	longest    []int64 // longest time that a client left for a try
+	firstLeft  []int64 // the time that clients mostly leave for a try, as they do for a first one
+	firstLead  []int   // how many more tries had it than had not
 	benefit    []float64
 	lateWorth  []float64
 	usual      []float64 // usual response time
@@ -347,7 +348,8 @@
 	g.window = append(g.window, window)
 	g.targets = append(g.targets, target)
 	g.timeout = append(g.timeout, timeout)
-	g.longest = append(g.longest, 0)
+	g.firstLeft = append(g.firstLeft, 0)
+	g.firstLead = append(g.firstLead, 0)
 	g.benefit = append(g.benefit, benefit)
 	g.lateWorth = append(g.lateWorth, lateWorth)
 	g.usual = append(g.usual, 0)
