Follow discovery by JSON values, give up silence in 3 s and take a restarted one's list

Now lists are decoded as a stream of JSON values, bounded in bytes. Bytes between lists are signs of life, bytes within one are not. 3 s of silence, 1 s for an answer and at most 0.25 s of rest add up to 4.25 s.

Ruled out: the connect and header time-outs themselves, which held.

--- a/internal/nodelist/watch.go
+++ b/internal/nodelist/watch.go
@@ -1,10 +1,9 @@
 package nodelist
 
 import (
-	"bufio"
 	"bytes"
-	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,12 +15,16 @@
 	"cairntiller/internal/counters"
 )
 
+// What discovery tells counts as told 6 s after it fell silent, or had a change and could be reached. The longest way
+// to a list in hand: a watch that falls silent is given up lifeWait later, its successor meets silence too for
+// answerWait, and the call that begins backMost later is answered at once: 4.25 s. A call that began just before
+// discovery could be reached, and is never answered, costs answerWait + backMost.
 const (
-	answerWait = 2 * time.Second         // for discovery to begin an answer: its empty lines come as often
-	lifeWait   = 5 * time.Second         // of a watch without a line: two empty ones missed
-	backFirst  = 100 * time.Millisecond  // before a watch that ended is started anew
-	backMost   = 1600 * time.Millisecond // the same, doubled while watches do not last
-	mostLine   = 4 << 20                 // bytes in one list: some ten thousand nodes
+	answerWait = time.Second            // for discovery to begin an answer: its agent is on this machine and does so at once
+	lifeWait   = 3 * time.Second        // of a watch without a sign of life: empty lines come every 2 s
+	backFirst  = 50 * time.Millisecond  // before a watch that ended is started anew
+	backMost   = 250 * time.Millisecond // the same, doubled while watches bring nothing
+	mostList   = 4 << 20                // bytes in one list: some ten thousand nodes
 )
 
 var (
@@ -29,8 +32,8 @@
 	broken  = counters.New("lists refused")
 )
 
-// unknown is no version: the whole list is asked for. Another discovery may count its versions anew.
-const unknown = -1
+// Unknown is no version: the whole list is asked for. Another discovery may count its versions anew.
+const Unknown = -1
 
 // Follow watches discovery at an address, and from a move on at another, until the context ends. A watch that
 // was left is over before the next begins, so its lists never come after newer ones.
@@ -44,7 +47,7 @@
 		}(address, index)
 		select {
 		case address = <-moves:
-			index = unknown
+			index = Unknown
 		case <-ctx.Done():
 		}
 		end()
@@ -60,20 +63,18 @@
 	back := backFirst
 	for ctx.Err() == nil {
 		watches.Add()
-		began := time.Now()
-		var err error
-		if index == unknown {
-			err = ask(ctx, client, address, "", &index, on)
-		} else {
-			err = ask(ctx, client, address, fmt.Sprintf("?follow=1&since=%d", index), &index, on)
+		query := ""
+		if index != Unknown {
+			query = fmt.Sprintf("?follow=1&since=%d", index)
 		}
+		brought, err := ask(ctx, client, address, query, &index, on)
 		slog.Debug("watch ended", "err", err, "index", index)
-		if time.Since(began) > lifeWait { // it lived
-			back = backFirst
-		}
 		if errors.Is(err, errWhole) {
 			continue
 		}
+		if brought {
+			back = backFirst
+		}
 		select {
 		case <-time.After(back):
 		case <-ctx.Done():
@@ -82,53 +83,88 @@
 	}
 }
 
-// errWhole tells that the whole list has come, and can be followed.
-var errWhole = errors.New("the whole list came")
+var (
+	errWhole = errors.New("the whole list came") // and can be followed
+	errLong  = errors.New("a list is too long")
+	errMute  = errors.New("the watch fell silent")
+)
 
-// ask hands on the lists in one answer of discovery's.
-func ask(ctx context.Context, client *http.Client, address, query string, index *int64, on func(*List)) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// ask hands on the lists in one answer of discovery's; brought tells that there was one.
+func ask(ctx context.Context, client *http.Client, address, query string, index *int64, on func(*List)) (brought bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/api/targets"+query, nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	answer, err := client.Do(request)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		return errors.New(answer.Status)
+		return false, errors.New(answer.Status)
 	}
-	life := time.AfterFunc(lifeWait, cancel)
+	life := time.AfterFunc(lifeWait, func() { cancel(errMute) })
 	defer life.Stop()
-	lines := bufio.NewScanner(answer.Body)
-	lines.Buffer(nil, mostLine)
-	for lines.Scan() {
-		life.Reset(lifeWait)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
+	body := &alive{from: answer.Body, sign: func() { life.Reset(lifeWait) }}
+	for lists := json.NewDecoder(body); ; {
+		var raw json.RawMessage
+		if err := lists.Decode(&raw); err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = cause
+			} else if !errors.Is(err, io.EOF) {
+				broken.Add()
+			}
+			return brought, err
 		}
-		l, err := Decode(line)
+		life.Reset(lifeWait)
+		body.between()
+		l, err := Decode(raw)
 		if err != nil {
 			broken.Add()
-			return err
+			return brought, err
 		}
-		if l.Index < *index { // an older version than is held
+		// A discovery that started anew counts from one again, and what it says first is whole: that stands, or no list
+		// would be taken ever after. An older list that is not whole, or comes behind a newer one, is no news.
+		if l.Index < *index && (brought || !l.Whole) {
 			broken.Add()
 			continue
 		}
 		if ctx.Err() != nil { // it was left meanwhile
-			return ctx.Err()
+			return brought, context.Cause(ctx)
 		}
-		first := *index == unknown
+		brought = true
+		first := *index == Unknown
 		*index = l.Index
 		on(l)
 		if first {
-			return errWhole
+			return true, errWhole
+		}
+	}
+}
+
+// alive passes on a watch's bytes, and tells of its signs of life: all that comes between lists, empty lines among it,
+// and the beginning of a list. What comes within one is none: a list that does not get whole must not hold the watch
+// open. It bounds a list's bytes.
+type alive struct {
+	from io.Reader
+	sign func()
+	in   int // bytes since the last list was whole and something but white space came
+}
+
+// between tells that a list is whole.
+func (a *alive) between() { a.in = 0 }
+
+func (a *alive) Read(p []byte) (int, error) {
+	n, err := a.from.Read(p)
+	if a.in == 0 {
+		a.sign()
+	}
+	if a.in > 0 || len(bytes.TrimSpace(p[:n])) > 0 {
+		if a.in += n; a.in > mostList {
+			return 0, errLong
 		}
 	}
-	return cmp.Or(lines.Err(), io.EOF)
+	return n, err
 }
