Let what a router saves up for a cold node lapse, so that a fleet keeps its budget

Seen: the stated terms allow the sum over all processes N + 2 sqrt(N) + 2 commands at a cold node.

Cause: refill (route.go) capped what each router had saved at 1.5 commands, so 300 routers saved 300 to 450 of them, whatever the budget. Ruled out: the flow itself (nothing over while the node is wanted all the time) and new processes (seven in ten new: far under).

Now what is saved is kept only for as long as it fits into one window beside the flow, which rules.fall tells the module; of few routers the former cap binds first.

--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -185,7 +185,7 @@
 	reports := func(name string) bool { return v["report.how"] != "none" && slices.Contains(fields, name) }
 	r.Probes(v.Probes(), reports("x0"), reports("x1"))
 	r.Tokens(v["domain.writeMarks"] == "carried")
-	r.ColdStart(n.Time("rules.cold"), n.Float("rules.coldFrom"), n.Float("rules.fallMultiple"))
+	r.ColdStart(n.Time("rules.cold"), n.Float("rules.coldFrom"), n.Float("rules.fallMultiple"), n.Time("rules.fall"))
 	r.Drains(v.on("rules.droppedStayOpen"))
 	r.Lists(v["registryMode"] == "on_request")
 	return names, n.Err
--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -90,7 +90,7 @@
 	r.Dispatches(6, true, seed%2 == 0)
 	r.Probes(true, true, true)
 	r.Tokens(true)
-	r.ColdStart(modelCold, modelFrom, 2)
+	r.ColdStart(modelCold, modelFrom, 2, modelFall)
 	r.Drains(false)
 	w.r = r
 	r.Start(w.now)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -59,7 +60,7 @@
 	spareShare    = 0.5     // of a node's limit is open to commands worth little
 	coldPart      = 0.45    // of the multiple that pushes a cold node over: chance and work sizes take the rest
 	coldMore      = 0.3     // of it more by the time it is warm: the more it can do, the less chance weighs
-	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once
+	coldBurst     = 1.5     // usual commands of a kind that a cold node may be owed at once by one router
 	coldUnknown   = 50_000  // us of work a second to a cold node with no warm peer to go by: 1/20 core
 	rateSpan      = 2e6     // us over which a node's answered work is averaged
 	listDoubt     = 5e6     // us for which an answer's role outweighs a late list
@@ -467,7 +468,8 @@
 
 // refill gives a cold node the part of what nodes of its kind did when warm that its warmth allows. Guards
 // rule four against any mix of routers, for each sends a part of what it alone had answered. What was seen is
-// kept, for a whole group may start cold; a router that has seen nothing warm sends next to none.
+// kept, for a whole group may start cold; a router that has seen nothing warm sends next to none. What it saves up
+// unused is lost in time: all of it together may come at once, on top of what the fleet goes on to be allowed.
 func (r *Router) refill(n, g int, warmth float64, now int64) {
 	s := &r.node
 	rate, peers := 0.0, 0
@@ -477,10 +479,15 @@
 			peers++
 		}
 	}
-	part := (coldPart + coldMore*warmth) * r.fallMultiple
-	allowed := max(coldUnknown/float64(r.siblings), part*warmth*rate/float64(max(peers, 1)))
-	s.credit[n] = min(coldBurst*r.group.usual[g], s.credit[n]+allowed*float64(now-s.creditAt[n])/1e6)
+	part, usual := coldPart+coldMore*warmth, r.group.usual[g]
+	allowed := max(coldUnknown/float64(r.siblings), part*r.fallMultiple*warmth*rate/float64(max(peers, 1)))
+	s.credit[n] += allowed * float64(now-s.creditAt[n]) / 1e6
 	s.creditAt[n] = now
+	if keeps := allowed * r.fallWindow / 1e6 * (1/part - 1); keeps >= usual || r.fallWindow == 0 {
+		s.credit[n] = min(coldBurst*usual, s.credit[n])
+	} else if over := s.credit[n] - usual - keeps; over >= 0 {
+		s.credit[n] = keeps + math.Mod(over, usual)
+	}
 }
 
 // lead sends writes and reads that must be current to the believed primary, or keeps them for one. While
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 	"testing"
@@ -720,3 +721,69 @@
 		last = part
 	}
 }
+
+// coldSends lets a fleet want all it can of a cold node, from a time on, and returns what all routers together sent
+// it, as the largest excess over what chance allows on its budget: N + 2 sqrt(N) + 2 commands in any modelFall.
+// Routers share nothing. Traffic is uneven, up to several times the mean; of so many in ten, the process is new and has
+// seen nothing warm.
+func coldSends(t *testing.T, routers int, wait int64, newInTen int) (excess float64, sent int) {
+	fleet := make([]*world, routers)
+	part := make([]float64, routers) // of the fleet's traffic
+	all := 0.0
+	for i := range fleet {
+		part[i] = []float64{1, 0.3, 2, 0.7, 4}[i%5]
+		all += part[i]
+	}
+	began := int64(1_000_000_000)
+	for i := range fleet {
+		w := newWorld(t, uint64(i)*7919)
+		w.r.siblings = routers
+		w.started["g0n2"] = began
+		w.list(1, 3)
+		fleet[i] = w
+	}
+	var at []int64
+	for now := began + wait; now < began+wait+2*modelFall && now < began+modelCold; now += 20_000 {
+		for i, w := range fleet {
+			w.cold = map[string][]int64{} // one router's own excess is not what is looked for
+			w.step(now - w.now)
+			s := &w.r.node
+			if s.warmRate[0] = 0; i%10 >= newInTen {
+				s.warmRate[0] = part[i] / all * modelRate * w.r.group.usual[gAny]
+			}
+			s.warmRate[1], s.limit[2] = s.warmRate[0], 1e9
+			s.restTill[0], s.restTill[1] = now+1e6, now+1e6 // the warm ones have no room
+			for j := 0; len(w.r.shard.waiting[0]) < 2 && j < 3; j++ {
+				w.arrive(fmt.Sprint(now, "-", j), gAny, 0, 1e6, 0)
+			}
+			for len(w.open) > 0 {
+				at = append(at, now)
+				w.open[0].sent -= 20_000 // it took as long
+				w.answer(0, Answered, Replica, now)
+			}
+		}
+	}
+	for i, j := 0, 0; i < len(at); i++ {
+		for at[j] <= at[i]-modelFall {
+			j++
+		}
+		n := 2 * (modelFrom + (1-modelFrom)*float64(at[i]-began)/modelCold) * modelRate * modelFall / 1e6
+		excess = max(excess, float64(i-j+1)-n-2*math.Sqrt(n)-2)
+	}
+	return excess, len(at)
+}
+
+// TestTheFleetKeepsAColdNodesBudget guards against routers that each keep their part and together push a cold node
+// over: they share nothing, and all may have saved up for it when all want it at once.
+func TestTheFleetKeepsAColdNodesBudget(t *testing.T) {
+	for _, c := range []struct {
+		routers int
+		wait    int64
+		fresh   int // of ten
+	}{{3, 0, 0}, {3, 8e6, 0}, {20, 0, 0}, {20, 8e6, 0}, {30, 3e6, 0}, {30, 8e6, 0}, {30, 8e6, 7}, {300, 6e6, 0}} {
+		excess, sent := coldSends(t, c.routers, c.wait, c.fresh)
+		if excess > 0 || sent == 0 {
+			t.Errorf("%+v: %d sent, %.1f over", c, sent, excess)
+		}
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -313,6 +313,7 @@
 	carried                bool
 	coldFor                int64
 	coldFrom, fallMultiple float64
+	fallWindow             float64
 	droppedOpen            bool
 	followAt               int64 // when to ask for the list again, 0 for not
 	scarceTill             int64 // connections are kept only while in use before
@@ -390,9 +391,10 @@
 // Tokens tells whether clients carry their sessions' tokens; else the router remembers them.
 func (r *Router) Tokens(carried bool) { r.carried = carried }
 
-// ColdStart tells how cold a node starts, for how long, and the multiple that pushes it over.
-func (r *Router) ColdStart(length int64, from, multiple float64) {
-	r.coldFor, r.coldFrom, r.fallMultiple = length, from, multiple
+// ColdStart tells how cold a node starts, for how long, and the multiple of what it can do that pushes it over
+// within a window.
+func (r *Router) ColdStart(length int64, from, multiple float64, window int64) {
+	r.coldFor, r.coldFrom, r.fallMultiple, r.fallWindow = length, from, multiple, float64(window)
 }
 
 // Drains tells whether nodes that vanished without draining may still be used.
