--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"log/slog"
 	"net"
@@ -34,6 +36,8 @@
 	idleWait  = 2_000_000 // us without a command after which a connection may be closed
 	idlePart  = 16        // of the places, one in so many, that may stand idle for longer: whoever asked once and
 	// stays holds a place that others need, at this router and in their own limits
+	readWait   = 200_000                // us in which a client has read what stood before our end: sooner, a close could take it away
+	endingPart = 16                     // of the descriptors, one in so many, for connections that have ended and are read on
 	sweepEvery = 100 * time.Millisecond // between looks for those: a twentieth of the wait
 )
 
@@ -48,6 +52,9 @@
 	unread    = counters.New("queries refused")
 	empties   = counters.New("empty queries")
 	crossed   = counters.New("reads after our end")
+	cancelled = counters.New("commands cancelled")
+	strangers = counters.New("cancels without a command")
+	parting   = counters.New("commands while leaving")
 )
 
 // Front takes clients' connections.
@@ -57,6 +64,8 @@
 	groups    map[string]int
 	tenants   map[string]int
 	most      int   // connections at once
+	mostEnded int   // more of them for those that have ended
+	mostIdle  int   // of them that may stand idle for long
 	mostHeld  int64 // bytes of commands and answers in hand on all of them
 	mostBegun int64 // bytes of begun messages on all of them
 	ready     atomic.Bool
@@ -66,15 +75,16 @@
 	ending atomic.Bool
 
 	mu    sync.Mutex
-	conns map[*conn]bool
+	conns map[uint32]*conn // by number
 	next  uint32
 }
 
 // New makes a front that knows command groups and tenants by name; it holds so many connections at most, and
 // a part of so many bytes of memory.
 func New(now func() int64, taker exchange.Taker, groups, tenants map[string]int, most int, memory int64) *Front {
-	return &Front{now: now, taker: taker, groups: groups, tenants: tenants, most: most, mostHeld: memory / heldPart,
-		mostBegun: memory / begunPart, conns: map[*conn]bool{}}
+	ended := most / endingPart
+	return &Front{now: now, taker: taker, groups: groups, tenants: tenants, most: most - ended, mostEnded: ended, mostIdle: most / idlePart,
+		mostHeld: memory / heldPart, mostBegun: memory / begunPart, conns: map[uint32]*conn{}}
 }
 
 // Open tells that commands can be taken from now on.
@@ -105,23 +115,19 @@
 func (f *Front) admit(nc netpoll.Connection) {
 	accepted.Add()
 	c := &conn{front: f, split: pgwire.NewSplitter(mostStartup, true), stream: stream.New(nc)}
+	var secret [4]byte
+	rand.Read(secret[:])
+	c.secret = binary.BigEndian.Uint32(secret[:])
 	c.turn(fresh)
-	var out *conn
 	f.mu.Lock()
 	f.next++
 	c.number = f.next
-	if len(f.conns) >= f.most {
-		now, least, first := f.now(), 0, int64(0)
-		for one := range f.conns {
-			since := one.since.Load()
-			if r := one.rank(now - since); r < rankBusy && (out == nil || r < least || r == least && since < first) {
-				out, least, first = one, r, since
-			}
-		}
-	}
-	over := len(f.conns) >= f.most && out == nil
-	f.conns[c] = true
+	out, ended, over := f.room()
+	f.conns[c.number] = c
 	f.mu.Unlock()
+	if ended != nil {
+		ended.stream.Close()
+	}
 	if out != nil {
 		evicted.Add()
 		out.evict()
@@ -133,12 +139,41 @@
 	}
 }
 
+// room names the connection that has to end for one more, and one that has ended and must be closed for it; over
+// tells that there is no place. Called under the lock.
+func (f *Front) room() (out, ended *conn, over bool) {
+	if len(f.conns) < f.most {
+		return nil, nil, false
+	}
+	now, living, least := f.now(), 0, rankBusy
+	older := func(a, b *conn) bool { return b == nil || a.since.Load() < b.since.Load() }
+	for _, c := range f.conns {
+		if c.phase.Load() == gone {
+			if older(c, ended) {
+				ended = c
+			}
+			continue
+		}
+		living++
+		if r := c.rank(now - c.since.Load()); r < least || r == least && r < rankBusy && older(c, out) {
+			out, least = c, r
+		}
+	}
+	if len(f.conns) < f.most+f.mostEnded { // what was said last on those that have ended may not be read yet
+		ended = nil
+	}
+	if living < f.most {
+		out = nil
+	}
+	return out, ended, living >= f.most && out == nil
+}
+
 // all lists the connections.
 func (f *Front) all() []*conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := make([]*conn, 0, len(f.conns))
-	for c := range f.conns {
+	for _, c := range f.conns {
 		all = append(all, c)
 	}
 	return all
@@ -160,13 +195,13 @@
 		}
 	}
 	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.since.Load(), b.since.Load()) })
-	for _, c := range idle[:max(0, len(idle)-f.most/idlePart)] {
+	for _, c := range idle[:max(0, len(idle)-f.mostIdle)] {
 		parted.Add()
 		c.endBetween()
 	}
 }
 
-// End closes connections as soon as nothing is owed on them; what still comes on others is taken.
+// End closes connections as soon as nothing is owed on them; what still comes behind that is turned away.
 func (f *Front) End() {
 	f.ending.Store(true)
 	for _, c := range f.all() {
@@ -174,10 +209,30 @@
 	}
 }
 
-// Wait returns once all connections have ended, or after a time.
-func (f *Front) Wait(most time.Duration) {
-	for end := time.Now().Add(most); time.Now().Before(end) && len(f.all()) > 0; {
-		time.Sleep(5 * time.Millisecond)
+// Wait returns once clients have ended all connections, but for so long at most behind the last answer's leave; and
+// until the last answers have left only up to a time.
+func (f *Front) Wait(most time.Duration, until time.Time) {
+	for end := time.Now().Add(most); ; time.Sleep(5 * time.Millisecond) {
+		now := time.Now()
+		all := f.all()
+		for _, c := range all {
+			if !c.stream.Finished() && c.phase.Load() != fresh { // who never asked anything is owed nothing
+				end = now.Add(most)
+			}
+		}
+		if len(all) == 0 || now.After(end) || now.After(until) {
+			return
+		}
+	}
+}
+
+// cancel ends the command in hand on a connection, by the key that its client was told: its client has given it up.
+func (f *Front) cancel(process, secret uint32, asked int64) {
+	f.mu.Lock()
+	c := f.conns[process]
+	f.mu.Unlock()
+	if c == nil || c.secret != secret || !c.cancel(asked) {
+		strangers.Add()
 	}
 }
 
@@ -196,6 +251,7 @@
 	front   *Front
 	stream  *stream.Stream
 	number  uint32
+	secret  uint32 // who knows it may cancel the connection's commands
 	phase   atomic.Int32
 	since   atomic.Int64 // when it came to that
 	begunAt atomic.Int64 // when a message began that is not whole yet, 0 for none
@@ -213,6 +269,7 @@
 // slot is the place of one answer.
 type slot struct {
 	x     *exchange.Exchange
+	at    int64 // when its command came
 	bytes []byte
 	fatal bool
 }
@@ -223,21 +280,19 @@
 	c.phase.Store(p)
 }
 
-const rankBusy = 4
+const rankBusy = 3
 
-// rank tells how soon the connection makes room for another, having been in its phase for so long: the ended
-// ones first, then those that had their time for a first command, then the long idle. Newcomers rank behind
-// these, or a crowd of idle ones would leave them one place, where each ends the one before.
+// rank tells how soon the connection makes room for another, having been in its phase for so long: those that had
+// their time for a first command, then the long idle. Newcomers rank behind these, or a crowd of idle ones would leave
+// them one place, where each ends the one before.
 func (c *conn) rank(age int64) int {
 	switch p := c.phase.Load(); {
-	case p == gone:
-		return 0
 	case p == fresh && age > greetWait:
-		return 1
+		return 0
 	case p == calm && age > idleWait:
-		return 2
+		return 1
 	case p == fresh:
-		return 3
+		return 2
 	}
 	return rankBusy
 }
@@ -245,8 +300,6 @@
 // evict ends the connection for another, unless a command has come meanwhile.
 func (c *conn) evict() {
 	switch c.phase.Load() {
-	case gone:
-		c.stream.Close()
 	case fresh:
 		c.refuse(true, pgwire.CodeThrottled, "too many connections")
 	case calm:
@@ -312,11 +365,14 @@
 		c.asked = true // "N": no; what follows is a startup in the clear
 		c.stream.Write([]byte{'N'}, nil)
 	case opening == pgwire.OpenCancel:
-		c.local(nil, true)
+		if process, secret, ok := pgwire.DecodeCancel(f); ok {
+			c.front.cancel(process, secret, c.since.Load())
+		}
+		c.local(nil, true) // nothing is ever said to one
 	case opening == pgwire.OpenStartup || opening == pgwire.OpenStartupNewer:
 		c.started = true
 		c.split.Typed(mostQuery)
-		c.local(pgwire.AppendWelcome(nil, opening == pgwire.OpenStartupNewer, c.number), false)
+		c.stream.Write(pgwire.AppendWelcome(nil, opening == pgwire.OpenStartupNewer, c.number, c.secret), nil)
 	default:
 		malformed.Add()
 		c.refuse(true, pgwire.CodeUnsupported, "unsupported frontend protocol")
@@ -391,15 +447,20 @@
 		crossed.Add()
 		return
 	}
-	room := len(c.slots) < mostPiped && c.front.held.Load() < c.front.mostHeld
+	// What comes behind other answers must not keep a router that leaves; who has just come is served once.
+	leaving := c.front.ending.Load() && c.phase.Load() != fresh
+	room := !leaving && len(c.slots) < mostPiped && c.front.held.Load() < c.front.mostHeld
 	if room {
 		c.turn(busy)
 		c.front.held.Add(int64(cmd.Size()))
-		c.slots = append(c.slots, &slot{x: x})
+		c.slots = append(c.slots, &slot{x: x, at: at})
 	}
 	c.mu.Unlock()
 	if room {
 		c.front.taker.Take(at, x)
+	} else if leaving {
+		parting.Add()
+		c.refuse(false, pgwire.CodeNotReady, "the router is leaving; nothing was done")
 	} else {
 		crowded.Add()
 		c.refuse(false, pgwire.CodeThrottled, "too many commands in hand")
@@ -432,14 +493,15 @@
 	c.flush()
 }
 
-// flush writes the answers that are next in turn. While the router leaves, a command's answer is the last: a
-// connection that has just come up may bring its command with its startup. Called under the lock.
+// flush writes the answers that are next in turn. While the router leaves, the last one owed is the last of the
+// connection; a welcome is none, for one that has just come up may bring its command with its startup. Called under
+// the lock.
 func (c *conn) flush() {
-	last := false
+	wrote := false
 	for len(c.slots) > 0 && (c.slots[0].bytes != nil || c.slots[0].fatal) {
 		s := c.slots[0]
 		c.slots = c.slots[1:]
-		last = last || s.x != nil
+		wrote = true
 		if s.bytes != nil {
 			n := int64(len(s.bytes))
 			c.front.held.Add(n)
@@ -454,7 +516,7 @@
 	if len(c.slots) == 0 && c.phase.Load() == busy {
 		c.turn(calm)
 	}
-	if last && c.front.ending.Load() {
+	if wrote && c.front.ending.Load() {
 		c.endIfDone()
 	}
 }
@@ -480,7 +542,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.slots {
-		if s.x == x {
+		if s.x == x && s.bytes == nil {
 			s.bytes = p
 			c.front.held.Add(-int64(x.Command.Size()))
 		}
@@ -488,6 +550,33 @@
 	c.flush()
 }
 
+// cancel ends the command that is next to be answered, where it had come before the cancel's connection did: one that
+// came later is not meant, for its client has had the answer that the cancel crossed. It tells whether there was one.
+func (c *conn) cancel(asked int64) bool {
+	c.mu.Lock()
+	if len(c.slots) == 0 || c.slots[0].x == nil || c.slots[0].at >= asked {
+		c.mu.Unlock()
+		return false
+	}
+	s := c.slots[0]
+	s.bytes = pgwire.AppendError(nil, false, pgwire.CodeCanceled, "canceling statement due to user request", 0)
+	c.front.held.Add(-int64(s.x.Command.Size()))
+	c.flush()
+	c.mu.Unlock()
+	cancelled.Add()
+	c.front.taker.Gone(c.front.now(), s.x)
+	return true
+}
+
+// Here implements exchange.Client.
+func (c *conn) Here() bool {
+	if c.stream.Present() {
+		return true
+	}
+	c.leave(c.front.now())
+	return false
+}
+
 // Answer implements exchange.Client.
 func (c *conn) Answer(x *exchange.Exchange, value []byte) { c.fill(x, pgwire.AppendReady(value)) }
 
@@ -504,15 +593,20 @@
 // ended is told when the connection has ended: whoever waited on it has gone.
 func (c *conn) ended() {
 	at := c.front.now()
+	c.front.mu.Lock()
+	delete(c.front.conns, c.number)
+	c.front.mu.Unlock()
+	c.hold(at, 0)
+	c.leave(at)
+}
+
+// leave gives up what the client is owed, for it has gone.
+func (c *conn) leave(at int64) {
 	c.mu.Lock()
 	c.closed = true
 	owed := c.slots
 	c.slots = nil
 	c.mu.Unlock()
-	c.front.mu.Lock()
-	delete(c.front.conns, c)
-	c.front.mu.Unlock()
-	c.hold(at, 0)
 	for _, s := range owed {
 		if s.x != nil {
 			if s.bytes == nil {
--- /dev/null
+++ b/internal/engine/crossings_test.go
@@ -0,0 +1,363 @@
+package engine_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cairntiller/internal/exchange"
+	"cairntiller/internal/pgwire"
+	"cairntiller/internal/route"
+	"cairntiller/internal/standin/scripted"
+)
+
+// Each test here makes two events meet in their bad order; docs/crossings.md has the table.
+
+// leaver is a client that has gone without anyone having been told.
+type leaver struct{ patient }
+
+func (leaver) Here() bool { return false }
+
+// held is a node whose connections come up only once they are let.
+type held struct {
+	addr    string
+	came    chan net.Conn
+	queries chan string
+}
+
+func hold(t *testing.T) *held {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &held{ln.Addr().String(), make(chan net.Conn, 99), make(chan string, 99)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			if _, err := scripted.ReadFrame(c, false); err == nil {
+				h.came <- c
+			}
+		}
+	}()
+	return h
+}
+
+// up lets a connection come up, and tells what it is asked.
+func (h *held) up(c net.Conn) {
+	io.WriteString(c, scripted.Welcome)
+	go func() {
+		for {
+			q, err := scripted.ReadFrame(c, true)
+			if err != nil {
+				return
+			}
+			h.queries <- string(q)
+			io.WriteString(c, scripted.Row+scripted.Ready)
+		}
+	}()
+}
+
+func (e *ends) dispatch(p interface{ Send(*exchange.Dispatch) }, client exchange.Client, within int64) *exchange.Exchange {
+	c, err := pgwire.DecodeCommand([]byte("/* id=1,c=look,d=1000,cluster=0 */ SELECT '1'"))
+	if err != nil {
+		panic(err)
+	}
+	now := e.now()
+	x := exchange.New(c, client, 0, -1, now)
+	d := x.Begin("n0", now, 0, within)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.Send(d)
+	return x
+}
+
+// TestLookedAtAgainAsItBegins: what was true as a dispatch was decided is looked at again as its connection comes up:
+// whether its client is there, its command owed an answer, its window of repeats open, its node in use. None is written.
+func TestLookedAtAgainAsItBegins(t *testing.T) {
+	for name, c := range map[string]struct {
+		client    exchange.Client
+		within    int64
+		meanwhile func(p interface{ Bar(string) }, x *exchange.Exchange)
+		want      string
+	}{
+		"nothing happened":      {patient{}, 400_000, nil, "written"},
+		"its client has gone":   {leaver{}, 0, nil, "unsent"},
+		"its command is over":   {patient{}, 0, func(_ interface{ Bar(string) }, x *exchange.Exchange) { x.Leave() }, "unsent"},
+		"its window has passed": {patient{}, 1, nil, "unsent"},
+		"its node drains":       {patient{}, 0, func(p interface{ Bar(string) }, _ *exchange.Exchange) { p.Bar("n0") }, "unsent"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := hold(t)
+			p, e := pool(t, 9, &scripted.Node{Addr: h.addr})
+			x := e.dispatch(p, c.client, c.within)
+			conn := <-h.came // it waits for this one
+			e.mu.Lock()
+			if c.meanwhile != nil {
+				c.meanwhile(p, x)
+			}
+			e.mu.Unlock()
+			h.up(conn)
+			got := <-e.results
+			if c.want == "unsent" && got.o != route.Unsent || c.want == "written" && got.o != route.Answered {
+				t.Errorf("%d, want it %s", got.o, c.want)
+			}
+			e.dispatch(p, patient{}, 0) // the connection is as good as before; nothing else was ever written on it
+			if c.want == "unsent" {
+				if got := <-e.results; got.o != route.Answered || len(h.queries) != 1 {
+					t.Errorf("the next one: %d, %d queries", got.o, len(h.queries))
+				}
+			}
+		})
+	}
+}
+
+// TestDescriptorsOfConnectionsThatClose count: dispatches that are stopped in a row never hold more connections to a
+// node than may be open and closing, and none is forgotten.
+func TestDescriptorsOfConnectionsThatClose(t *testing.T) {
+	h := hold(t)
+	p, e := pool(t, 4, &scripted.Node{Addr: h.addr})
+	for range 200 {
+		d := e.send(p, "n0", 0)
+		select {
+		case c := <-h.came:
+			io.WriteString(c, scripted.Welcome)
+			if _, err := scripted.ReadFrame(c, true); err != nil {
+				t.Fatal(err)
+			}
+			e.mu.Lock()
+			p.Stop(d)
+			e.mu.Unlock()
+		case got := <-e.results:
+			t.Fatalf("no room: %d", got.o)
+		}
+	}
+}
+
+// code is an error's.
+func code(p []byte) string {
+	if _, rest, found := strings.Cut(string(p), "\x00VERROR\x00C"); found {
+		return rest[:5]
+	}
+	return brief(p)
+}
+
+// key is what a welcome tells, to cancel a connection's commands by.
+func key(t *testing.T, r *router) (c net.Conn, key []byte) {
+	t.Helper()
+	r.dial(t).Close() // it is ready
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	c.Write(pgwire.AppendStartup(nil, "portal", "crm"))
+	all := string(until(t, c, 'Z'))
+	at := strings.Index(all, "K\x00\x00\x00\x0c")
+	if at < 0 {
+		t.Fatalf("no key in %q", all)
+	}
+	return c, []byte(all[at+5 : at+13])
+}
+
+func (r *router) cancel(t *testing.T, c net.Conn, key []byte) {
+	t.Helper()
+	if c == nil {
+		var err error
+		if c, err = net.Dial("tcp", r.addr); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	c.Write(append([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e"), key...))
+	if rest, err := io.ReadAll(c); err != nil || len(rest) > 0 { // read and carried out, once it ends
+		t.Errorf("a cancel was told %q, %v", rest, err)
+	}
+	c.Close()
+}
+
+// TestCancel: the key of its connection ends the command in hand at once, at its node too; no other key does anything,
+// nor does one whose connection has ended. The connection lives on.
+func TestCancel(t *testing.T) {
+	primary, replica := scripted.Start(t, scripted.Welcome), scripted.Start(t, scripted.Welcome, "", scripted.Row+scripted.Ready)
+	r := start(t, 9, primary, replica)
+	gone, old := key(t, r)
+	gone.Close()
+	c, right := key(t, r)
+	other, others := key(t, r)
+	if binary.BigEndian.Uint32(right[4:]) == binary.BigEndian.Uint32(others[4:]) {
+		t.Errorf("two connections have one key: %x, %x", right, others)
+	}
+	ask(c, "1", "look", "15000")
+	<-replica.Queries
+	wrong := append([]byte(nil), right...)
+	wrong[7]++
+	for _, k := range [][]byte{old, wrong, others, make([]byte, 8), append(right[:4:4], 0, 0, 0, 0)} {
+		r.cancel(t, nil, k)
+	}
+	if n := r.engine.Owed(); n != 1 {
+		t.Fatalf("%d commands owed after cancels with wrong keys", n)
+	}
+	r.cancel(t, nil, right)
+	if got := code(until(t, c, 'Z')); got != "57014" {
+		t.Errorf("cancelled: %q", got)
+	}
+	<-replica.Ended
+	ask(c, "2", "look", "900")
+	if got := brief(until(t, c, 'Z')); got != "row" {
+		t.Errorf("the next command: %q", got)
+	}
+	r.cancel(t, nil, right) // nothing is in hand
+	other.Write(pgwire.AppendQuery(nil, ""))
+	if got := until(t, other, 'Z'); got[0] != 'I' {
+		t.Errorf("another connection: %q", got)
+	}
+}
+
+// TestACancelThatCrossesItsAnswer hits no later command: its connection is there before the next command comes, and
+// what it says is read behind that.
+func TestACancelThatCrossesItsAnswer(t *testing.T) {
+	primary, replica := scripted.Start(t, scripted.Welcome), scripted.Start(t, scripted.Welcome, scripted.Row+scripted.Ready, "")
+	r := start(t, 9, primary, replica)
+	c, k := key(t, r)
+	ask(c, "1", "look", "900")
+	<-replica.Queries
+	before := counted("client connections ")
+	late, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for counted("client connections ") == before {
+		time.Sleep(time.Millisecond)
+	}
+	if got := brief(until(t, c, 'Z')); got != "row" {
+		t.Fatal(got)
+	}
+	ask(c, "2", "look", "15000")
+	<-replica.Queries
+	r.cancel(t, late, k)
+	if n := r.engine.Owed(); n != 1 {
+		t.Fatal("the command that came behind the cancelled one was hit")
+	}
+	replica.Opened()[0].Write([]byte(scripted.Row + scripted.Ready))
+	if got := brief(until(t, c, 'Z')); got != "row" {
+		t.Errorf("the later command: %q", got)
+	}
+}
+
+// TestACrowdThatLeaves guards against what is sent on for clients that have gone: hundreds wait for one connection that
+// comes up late, then leave in each way there is; nothing is written for them.
+func TestACrowdThatLeaves(t *testing.T) {
+	h := hold(t)
+	r := start(t, 999, &scripted.Node{Addr: h.addr})
+	const crowd = 200
+	over := func() int64 { // a few may have had their dispatches before their clients went
+		return counted("commands left by clients") + counted("commands throttled")
+	}
+	before := over()
+	var all []net.Conn
+	for range crowd {
+		c, _ := key(t, r)
+		all = append(all, c)
+	}
+	for i, c := range all {
+		ask(c, fmt.Sprint("x", i), "put", "15000")
+	}
+	conn := <-h.came // the limit lets a few go out; the rest wait in the module
+	for i, c := range all {
+		switch i % 4 {
+		case 0:
+			c.Close()
+		case 1:
+			c.(*net.TCPConn).CloseWrite()
+		case 2:
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		case 3:
+			c.Write([]byte("X\x00\x00\x00\x04"))
+		}
+	}
+	for r.engine.Owed() > 0 || over() < before+crowd {
+		time.Sleep(time.Millisecond)
+	}
+	h.up(conn)
+	go func() {
+		for c := range h.came {
+			h.up(c)
+		}
+	}()
+	c, _ := key(t, r)
+	ask(c, "stays", "put", "5000")
+	if got := brief(until(t, c, 'Z')); got != "row" {
+		t.Errorf("who stays: %q", got)
+	}
+	for len(h.queries) > 0 {
+		if q := <-h.queries; !strings.Contains(q, "id=stays") {
+			t.Errorf("sent on for a client that has gone: %q", q)
+		}
+	}
+}
+
+// TestACommandBehindTheLastAnswer: while the router leaves, what a client sends behind a command in hand is turned away
+// in its turn and nothing is lost; the connection ends behind it.
+func TestACommandBehindTheLastAnswer(t *testing.T) {
+	primary, replica := scripted.Start(t, scripted.Welcome), scripted.Start(t, scripted.Welcome, "")
+	r := start(t, 9, primary, replica)
+	c := r.dial(t)
+	ask(c, "1", "look", "5000")
+	<-replica.Queries
+	r.front.End()
+	before := counted("commands while leaving")
+	for i := range 3 {
+		ask(c, fmt.Sprint("late", i), "look", "5000")
+	}
+	for counted("commands while leaving") < before+3 {
+		time.Sleep(time.Millisecond)
+	}
+	replica.Opened()[0].Write([]byte(scripted.Row + scripted.Ready))
+	for i, want := range []string{"row", "57P03", "57P03", "57P03", "end"} {
+		if got := code(until(t, c, 'Z')); got != want {
+			t.Errorf("%d: %q, want %q", i, got, want)
+		}
+	}
+	if n := len(replica.Queries) + len(primary.Queries); n > 0 {
+		t.Errorf("%d more were sent on", n)
+	}
+}
+
+// TestStoppedWhileNodesHang: what is owed when the router must be gone is answered then.
+func TestStoppedWhileNodesHang(t *testing.T) {
+	primary, replica := scripted.Start(t, scripted.Welcome, ""), scripted.Start(t, scripted.Welcome)
+	r := start(t, 9, primary, replica)
+	write, waits := r.dial(t), r.dial(t)
+	ask(write, "1", "put", "60000")
+	<-primary.Queries
+	for i := range 30 { // most wait unsent behind a limit
+		ask(waits, fmt.Sprint("w", i), "put", "60000")
+	}
+	for r.engine.Owed() < 31 {
+		time.Sleep(time.Millisecond)
+	}
+	r.engine.Leave()
+	if got := brief(until(t, write, 'Z')); got != "58000" {
+		t.Errorf("a write that may have run: %q", got)
+	}
+	for i := range 30 {
+		if got := brief(until(t, waits, 'Z')); got != "58000" && got != "53300" {
+			t.Errorf("%d: %q", i, got)
+		}
+	}
+	if n := r.engine.Owed(); n > 0 {
+		t.Errorf("%d still owed", n)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -168,6 +168,11 @@
 	one.do(e.clock)
 }
 
+// Leave ends all that is still owed an answer.
+func (e *Engine) Leave() {
+	e.Post(e.now(), func(int64) { e.router.Leave() })
+}
+
 // Stop ends Run.
 func (e *Engine) Stop() {
 	e.mu.Lock()
@@ -365,12 +370,12 @@
 }
 
 // Dispatch implements route.Actions.
-func (e *Engine) Dispatch(cmd, node string, timeout int64) {
+func (e *Engine) Dispatch(cmd, node string, timeout, within int64) {
 	x := e.table[cmd]
 	if !assert.That(x != nil && !x.Final(), "a command is dispatched before its final answer") {
 		return
 	}
-	d := x.Begin(node, e.clock, timeout)
+	d := x.Begin(node, e.clock, timeout, within)
 	e.company.dispatched(node)
 	e.nodes.Send(d)
 	e.After(d.Deadline-e.clock, func(now int64) {
@@ -425,6 +430,9 @@
 // Release implements route.Actions.
 func (e *Engine) Release(node string) { e.nodes.Release(node) }
 
+// Bar implements route.Actions.
+func (e *Engine) Bar(node string) { e.nodes.Bar(node) }
+
 // Forget implements route.Actions.
 func (e *Engine) Forget(node string) { e.nodes.Forget(node) }
 
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -37,6 +37,14 @@
 	probe string
 }
 
+// patient is a client that stays, whatever it is told.
+type patient struct{}
+
+func (patient) Answer(*exchange.Exchange, []byte)  {}
+func (patient) Throttle(*exchange.Exchange, int64) {}
+func (patient) Fail(*exchange.Exchange)            {}
+func (patient) Here() bool                         { return true }
+
 func (e *ends) Ended(_ int64, _ *exchange.Dispatch, o route.Outcome, r *pgwire.Reply) {
 	e.results <- result{o: o, r: r}
 }
@@ -75,7 +83,7 @@
 		panic(err)
 	}
 	now := e.now()
-	d := exchange.New(c, nil, 0, -1, now).Begin(node, now, timeout)
+	d := exchange.New(c, patient{}, 0, -1, now).Begin(node, now, timeout, 0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p.Send(d)
@@ -102,6 +110,10 @@
 		"closed after the query":       {scripted.Welcome, "!", route.Broken},
 		"closed within the row":        {scripted.Welcome, scripted.RowStart + scripted.RowValue + "!", route.Broken},
 		"garbage":                      {scripted.Welcome, "what is this", route.Broken},
+		"an error within the row":      {scripted.Welcome, scripted.RowStart + scripted.RowValue + scripted.Failure("53300"), route.Errored},
+		"a miss within the row":        {scripted.Welcome, scripted.RowStart + scripted.Failure("25006"), route.Errored},
+		"an error cut short":           {scripted.Welcome, scripted.Failure("53300")[:9] + "!", route.Broken},
+		"the tag's last byte missing":  {scripted.Welcome, scripted.Row[:len(scripted.Row)-1] + "!", route.Broken},
 		"two rows":                     {scripted.Welcome, scripted.RowStart + scripted.RowValue + scripted.RowValue + scripted.RowEnd + scripted.Ready, route.Broken},
 		"a value too long":             {scripted.Welcome, scripted.RowStart + "D\x00\x03\x00\x00", route.Broken},
 		"ready out of turn":            {scripted.Welcome, scripted.Ready, route.Broken},
@@ -461,7 +473,7 @@
 	late.Close()
 	busy.Close()
 	idle.Close()
-	r.front.Wait(5 * time.Second)
+	r.front.Wait(5*time.Second, time.Now().Add(5*time.Second))
 }
 
 // TestBadInput: each gets its code; the connection lives on unless its stream can't be trusted any more.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,6 +22,8 @@
 	Answer(x *Exchange, value []byte)
 	Throttle(x *Exchange, wait int64)
 	Fail(x *Exchange)
+	// Here tells whether the client is still there; where it has gone, Gone is told of all that it is owed.
+	Here() bool
 }
 
 // Taker takes what clients bring; its calls may come from any goroutine.
@@ -43,6 +45,8 @@
 	Probe(node string)
 	// Release closes the idle connections to a node.
 	Release(node string)
+	// Bar ends what waits for a connection to a node as unsent.
+	Bar(node string)
 	// Forget does so for good.
 	Forget(node string)
 }
@@ -71,6 +75,7 @@
 	Node     string
 	Sent     int64 // when it was decided
 	Deadline int64 // when the router stops waiting
+	Until    int64 // latest time at which it may begin
 	Stopped  bool  // the router has given it up
 	Ended    bool
 }
@@ -80,17 +85,28 @@
 	return &Exchange{Command: c, Group: group, Tenant: tenant, Deadline: arrived + c.Timeout, client: client}
 }
 
-// Begin adds a dispatch.
-func (x *Exchange) Begin(node string, now, timeout int64) *Dispatch {
+// Begin adds a dispatch; 0 for no bound.
+func (x *Exchange) Begin(node string, now, timeout, within int64) *Dispatch {
 	d := &Dispatch{Exchange: x, Number: len(x.Dispatches), Node: node, Sent: now, Deadline: x.Deadline}
 	if timeout > 0 {
 		d.Deadline = min(d.Deadline, now+timeout)
 	}
+	d.Until = d.Deadline - 1
+	if within > 0 {
+		d.Until = min(d.Until, now+within)
+	}
 	x.Dispatches = append(x.Dispatches, d)
 	x.Open++
 	return d
 }
 
+// May tells, at the moment of the act, whether a dispatch may still begin: in time, for a command that is still owed
+// an answer, and for a client that is still there. What was true as it was decided may not be after a wait for a
+// connection.
+func (d *Dispatch) May(now int64) bool {
+	return now <= d.Until && !d.Exchange.final && d.Exchange.client.Here()
+}
+
 // Totals are the commands that have had an answer, a failure and a refusal since the start.
 func Totals() (done, bad, refused uint64) {
 	return uint64(answered.Count()), uint64(failed.Count()), uint64(throttled.Count())
--- a/internal/nodes/link.go
+++ b/internal/nodes/link.go
@@ -18,12 +18,14 @@
 	stream *stream.Stream
 	pool   *Pool
 
-	job   *job // engine's goroutine
-	up    bool
-	since int64         // when it became idle
-	lost  bool          // it ended before it was known whether its query was written
-	last  *pgwire.Reply // what had come by then
-	heard int64         // replies taken from it
+	job     *job // engine's goroutine
+	up      bool
+	dropped bool          // it counts as open no more
+	over    bool          // it has ended
+	since   int64         // when it became idle
+	lost    bool          // it ended before it was known whether its query was written
+	last    *pgwire.Reply // what had come by then
+	heard   int64         // replies taken from it
 
 	asked atomic.Int64 // queries written to it
 	ended atomic.Bool
@@ -178,7 +180,10 @@
 	l.ended.Store(true)
 	l.signal("", errEnded)
 	at, r := l.pool.now(), l.reply
-	l.pool.post(at, func(now int64) { l.pool.lost(now, l, r) })
+	l.pool.post(at, func(now int64) {
+		l.pool.closed(l)
+		l.pool.lost(now, l, r)
+	})
 }
 
 // replied ends the job of a connection, which is ready for its next after a moment: what a node wrongly sends
@@ -241,8 +246,11 @@
 	}
 }
 
-// outcome is the protocol page's table.
+// outcome is the protocol page's table. An error that breaks off a row that has begun says nothing of never having run.
 func outcome(r *pgwire.Reply) route.Outcome {
+	if r.Code != "" && len(r.Value) > 0 {
+		return route.Errored
+	}
 	switch r.Code {
 	case "":
 		return route.Answered
--- a/internal/nodes/pool.go
+++ b/internal/nodes/pool.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"log/slog"
+	"slices"
 
 	"cairntiller/internal/counters"
 	"cairntiller/internal/exchange"
@@ -15,11 +16,14 @@
 )
 
 const (
-	idleMargin = 1_000_000 // us before the machine's idle limit at which a connection is closed: two sweeps
-	sweepEvery = 500_000   // us between looks at idle connections
-	settle     = 1_000     // us after a reply in which its connection carries nothing new: far over what lies
+	idleMargin = 1_000_000 // us before the machine's idle limit at which a connection is closed: two sweeps, or half
+	// of a short limit
+	sweepEvery = 500_000 // us between looks at idle connections
+	settle     = 1_000   // us after a reply in which its connection carries nothing new: far over what lies
 	// between two writes of one process, far under any response time
-	partOfConnect = 4 // of the connect time, one in so many, in which a reply that began must be whole
+	leastClosing  = 8  // the same, at the least: what is spared for the process covers them
+	closingPart   = 16 // of the connections, one in so many, that may be closing beside those in use
+	partOfConnect = 4  // of the connect time, one in so many, in which a reply that began must be whole
 )
 
 var (
@@ -30,6 +34,7 @@
 	garbage = counters.New("node connections untrusted")
 	surplus = counters.New("replies with more behind them")
 	crowded = counters.New("dispatches without descriptor")
+	late    = counters.New("dispatches that may not begin any more")
 )
 
 // Post hands what happened at a time to the engine's goroutine.
@@ -45,6 +50,8 @@
 	idle    int64 // us after which a connection without work is closed
 	most    int   // connections to all nodes together
 	open    int   // those that are up or being dialled
+	closing int   // those that were dropped and still hold a descriptor
+	spared  int   // how many may
 	nodes   map[string]*node
 	at      map[*exchange.Dispatch]*job
 }
@@ -72,8 +79,8 @@
 // New makes a pool; its calls come from the goroutine that runs what is posted.
 func New(now func() int64, post Post, after func(int64, func(int64)), ender exchange.Ender, connect, idle int64,
 	most int) *Pool {
-	p := &Pool{now: now, post: post, after: after, ender: ender, connect: connect, idle: idle - idleMargin,
-		most: most, nodes: map[string]*node{}, at: map[*exchange.Dispatch]*job{}}
+	p := &Pool{now: now, post: post, after: after, ender: ender, connect: connect, idle: max(idle-idleMargin, idle/2),
+		most: most - most/closingPart, spared: max(leastClosing, most/closingPart), nodes: map[string]*node{}, at: map[*exchange.Dispatch]*job{}}
 	p.after(sweepEvery, p.sweep)
 	return p
 }
@@ -110,6 +117,18 @@
 	}
 }
 
+// Bar implements exchange.Nodes.
+func (p *Pool) Bar(name string) {
+	if n := p.nodes[name]; n != nil {
+		for _, j := range n.waiting {
+			if j.d != nil {
+				p.later(j, route.Unsent)
+			}
+		}
+		n.waiting = slices.DeleteFunc(n.waiting, func(j *job) bool { return j.d != nil })
+	}
+}
+
 // Forget implements exchange.Nodes; what is under way ends by itself.
 func (p *Pool) Forget(name string) {
 	p.Release(name)
@@ -159,7 +178,7 @@
 // supply opens connections for the jobs that can expect none.
 func (p *Pool) supply(n *node) {
 	for n.short() {
-		if p.open < p.most || p.spare() {
+		if p.open+max(0, p.closing-p.spared) < p.most || p.spare() {
 			p.dial(n)
 			continue
 		}
@@ -204,7 +223,11 @@
 				p.free(now, l)
 				return
 			}
-			p.open--
+			if l == nil {
+				p.open--
+			} else {
+				p.down(l)
+			}
 			refused.Add()
 			slog.Debug("no connection", "node", n.name, "err", err, "code", code)
 			if n.short() {
@@ -247,11 +270,22 @@
 	}
 }
 
-// down notes that a connection is of no more use.
+// down notes that a connection is of no more use; it holds its descriptor until it has ended.
 func (p *Pool) down(l *link) {
-	if l.up {
-		l.up = false
+	if !l.dropped {
+		l.dropped, l.up = true, false
 		p.open--
+		if !l.over {
+			p.closing++
+		}
+	}
+}
+
+// closed notes that a connection has ended.
+func (p *Pool) closed(l *link) {
+	l.over = true
+	if l.dropped {
+		p.closing--
 	}
 }
 
@@ -273,14 +307,15 @@
 			}
 		})
 	} else {
-		left := j.d.Deadline - p.now()
-		if left <= 0 {
+		now := p.now()
+		if !j.d.May(now) {
+			late.Add()
 			p.later(j, route.Unsent)
-			p.free(p.now(), l)
+			p.free(now, l)
 			return
 		}
 		sent.Add()
-		query = j.d.Exchange.Command.AppendFor(nil, left)
+		query = j.d.Exchange.Command.AppendFor(nil, j.d.Deadline-now)
 	}
 	j.link, l.job = l, j
 	l.asked.Add(1)
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -26,6 +26,7 @@
 type Names struct {
 	Groups, Tenants map[string]int
 	Targets         []int64 // of groups by number, us
+	Longest         int64   // client timeout of any group, us
 }
 
 // FromJSON flattens nested values into paths: list entries by number with their count, plain lists joined.
@@ -169,6 +170,7 @@
 		}
 		names.Groups[v[at+"name"]] = i
 		names.Targets = append(names.Targets, n.Time(at+"aim"))
+		names.Longest = max(names.Longest, n.Time(at+"hardLimit"))
 		bound := n.timeOf("domain.oldestData", nth(bounds, i))
 		r.Group(effect, v[at+"group"] == "all", level(nth(levels, i)), max(0, bound-sendLate),
 			n.Time(at+"window"), n.Time(at+"aim"), n.Time(at+"hardLimit"), n.Float(at+"points"),
--- a/internal/pgwire/frontend.go
+++ b/internal/pgwire/frontend.go
@@ -14,6 +14,7 @@
 	CodeProtocol    = "08P01" // protocol_violation
 	CodeValue       = "22023" // invalid_parameter_value
 	CodeUnsupported = "0A000" // feature_not_supported
+	CodeCanceled    = "57014" // query_canceled
 	CodeNoPrimary   = "25006" // read_only_sql_transaction
 	CodeTooOld      = "72000" // snapshot_too_old
 )
@@ -48,6 +49,14 @@
 	return OpenUnknown
 }
 
+// DecodeCancel reads which connection's command is to be cancelled, by the key that its welcome told.
+func DecodeCancel(f Frame) (process, secret uint32, ok bool) {
+	if len(f.Body) != 12 {
+		return 0, 0, false
+	}
+	return binary.BigEndian.Uint32(f.Body[4:]), binary.BigEndian.Uint32(f.Body[8:]), true
+}
+
 // DecodeQuery reads the statement of a simple query.
 func DecodeQuery(f Frame) (statement []byte, ok bool) {
 	n := len(f.Body) - 1
@@ -76,8 +85,8 @@
 	return Frame{'Q', append([]byte(statement), 0)}.Append(dst)
 }
 
-// AppendWelcome encodes the answer to a startup.
-func AppendWelcome(dst []byte, newer bool, process uint32) []byte {
+// AppendWelcome encodes the answer to a startup, with the key by which the connection's commands are cancelled.
+func AppendWelcome(dst []byte, newer bool, process, secret uint32) []byte {
 	if newer { // NegotiateProtocolVersion: minor 0, and no option is known
 		dst = Frame{'v', make([]byte, 8)}.Append(dst)
 	}
@@ -86,8 +95,8 @@
 		"client_encoding\x00UTF8\x00", "standard_conforming_strings\x00on\x00"} {
 		dst = Frame{'S', []byte(one)}.Append(dst)
 	}
-	key := binary.BigEndian.AppendUint32(nil, process)
-	return AppendReady(Frame{'K', append(key, 0, 0, 0, 0)}.Append(dst))
+	key := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, process), secret)
+	return AppendReady(Frame{'K', key}.Append(dst))
 }
 
 // AppendReady encodes ReadyForQuery.
--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -21,6 +21,8 @@
 	timers  []int64
 	cold    map[string][]int64 // sends to a cold node
 	dropped []string           // nodes whose idle connections were released
+	barred  []string           // nodes at which nothing more may begin
+	within  int64              // the last dispatch's bound
 }
 
 type taken struct {
@@ -221,8 +223,9 @@
 }
 
 // Dispatch implements Actions.
-func (w *world) Dispatch(id, node string, _ int64) {
+func (w *world) Dispatch(id, node string, _, within int64) {
 	c := w.cmds[id]
+	w.within = within
 	switch {
 	case c == nil || c.given || c.answered:
 		w.t.Fatalf("lost: %s dispatched after its end", id)
@@ -236,6 +239,8 @@
 		w.t.Fatalf("effect: mutating %s sent twice", id)
 	case c.effect == Keyed && (c.ran || c.open > 0) && w.now > c.firstRun+modelWindow:
 		w.t.Fatalf("effect: keyed %s sent after its window", id)
+	case c.effect == Keyed && (c.ran || c.open > 0) && (within <= 0 || w.now+within > c.firstRun+modelWindow):
+		w.t.Fatalf("effect: keyed %s may begin within %d us, after its window", id, within)
 	}
 	fresh := w.leads[node]
 	switch c.level {
@@ -293,6 +298,9 @@
 // Release implements Actions.
 func (w *world) Release(node string) { w.dropped = append(w.dropped, node) }
 
+// Bar implements Actions.
+func (w *world) Bar(node string) { w.barred = append(w.barred, node) }
+
 // Forget implements Actions.
 func (w *world) Forget(node string) {
 	for _, f := range w.open {
--- a/internal/route/iface.go
+++ b/internal/route/iface.go
@@ -3,8 +3,9 @@
 // Actions is how the module acts. Every call takes effect at the time of the event being handled.
 // A protocol puts its own implementation behind it; the module knows no other way out.
 type Actions interface {
-	// Dispatch starts the next dispatch of a command; timeout 0 means until the client gives up.
-	Dispatch(cmd, node string, timeout int64)
+	// Dispatch starts the next dispatch of a command; timeout 0 means until the client gives up. It must not begin
+	// later than within, 0 for no such bound; one that does not begin ends as Unsent.
+	Dispatch(cmd, node string, timeout, within int64)
 	// Throttle answers finally that the command had no effect and may be tried again after retryIn.
 	Throttle(cmd string, retryIn int64)
 	// Fail answers finally and promises nothing.
@@ -17,6 +18,8 @@
 	Probe(node string)
 	// Release closes the idle connections to a node.
 	Release(node string)
+	// Bar tells that nothing more may begin at a node; what has not begun there ends as Unsent.
+	Bar(node string)
 	// Forget tells that a node is gone and will not be named again, unless the list names it anew.
 	Forget(node string)
 	// Follow asks for the node list and its changes from now on.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -100,6 +101,9 @@
 		s.limit[n] = firstLimit
 		r.shard.members[s.shard[n]] = append(r.shard.members[s.shard[n]], n)
 	}
+	if sh := r.shard.of(wire, r.chance); sh != s.shard[n] {
+		r.move(n, sh)
+	}
 	if started != s.started[n] {
 		s.started[n], s.creditAt[n] = started, now
 		s.credit[n] = float64(r.chance(max(1, int(r.group.shortest())))) // else many routers all save for long
@@ -113,8 +117,9 @@
 			state = Draining // what drained stays bound when it is gone
 		}
 	}
-	fresh := lead && !(known && s.lead[n])
+	fresh, was := lead && !(known && s.lead[n]), known && r.listed(n)
 	s.zone[n], s.kind[n], s.state[n], s.listed[n], s.lead[n] = zone, kind, state, r.listNo, lead
+	r.bar(n, was)
 	if fresh { // the list's mark counts at the start and when it changes
 		r.hint(n, now)
 	}
@@ -123,9 +128,11 @@
 func (r *Router) ListEnds(now int64) {
 	for n := range r.node.id {
 		if r.full && r.node.listed[n] != r.listNo {
+			was := r.listed(n)
 			if r.node.goneAt[n] = cmp.Or(r.node.goneAt[n], now); r.node.state[n] != Draining {
 				r.node.state[n] = Removed
 			}
+			r.bar(n, was)
 		}
 	}
 	for sh := range r.shard.members {
@@ -133,6 +140,14 @@
 	}
 }
 
+// bar keeps what has not begun at a node that may not be used any more from beginning there. Guards against a
+// dispatch that waits for its connection while its node starts to drain.
+func (r *Router) bar(n int, was bool) {
+	if was && !r.listed(n) {
+		r.act.Bar(r.node.id[n])
+	}
+}
+
 // ListFailed tells that the list is no longer followed; the old one holds, and is asked for again soon.
 func (r *Router) ListFailed(now int64) { r.followAt = now + followGap }
 
@@ -669,14 +684,30 @@
 
 func (r *Router) send(c *cmd, now int64) verdict {
 	s, n := &r.node, c.to
+	within := r.within(c, now)
 	s.begin(c, n, now)
 	if r.warmth(n, now) < 1 {
 		s.credit[n] -= r.group.usual[c.group]
 	}
-	r.act.Dispatch(c.id, s.id[n], 0)
+	r.act.Dispatch(c.id, s.id[n], 0, within)
 	return pass
 }
 
+// within is how soon a repeat must begin, for its node group forgets; 0 for no bound. Guards against one that
+// was decided inside its window and waits for a connection until that has passed.
+func (r *Router) within(c *cmd, now int64) int64 {
+	if r.group.effect[c.group] != Keyed || !c.mayHaveRun && c.open == 0 {
+		return 0
+	}
+	first := cmp.Or(c.firstRun, now)
+	for _, t := range c.tries {
+		if !t.ended {
+			first = min(first, t.sent)
+		}
+	}
+	return max(1, first+r.group.window[c.group]-r.tick-now)
+}
+
 // land closes a dispatch at its node. While connections are scarce none is kept for later: routers that hold
 // idle ones shut the others out. Guards against nodes that take few; costs a handshake a command.
 func (r *Router) land(c *cmd, n int, _ Outcome, _, now int64) {
@@ -774,6 +805,15 @@
 	}
 }
 
+// Leave ends what is still owed, for the process will be killed before it could be answered; the order is the ids'.
+func (r *Router) Leave() {
+	for _, id := range slices.Sorted(maps.Keys(r.cmds)) {
+		if c := r.cmds[id]; !c.done {
+			r.giveUp(c)
+		}
+	}
+}
+
 func (r *Router) Probed(now int64, id string, _ int64, o Outcome) {
 	n, known := r.node.index[id]
 	if !known {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -787,3 +787,82 @@
 		}
 	}
 }
+
+// TestADispatchMayWaitWhileItsNodeDrains: what has not begun at a node is barred there as it may not be used any more,
+// by a drain, by its end, or by a whole list that does not name it; once.
+func TestADispatchMayWaitWhileItsNodeDrains(t *testing.T) {
+	for name, tell := range map[string]func(w *world){
+		"it drains": func(w *world) { w.drained["g0n1"] = true; w.change("g0n1"); w.change("g0n1") },
+		"it is gone": func(w *world) {
+			w.r.ListBegins(w.now, false)
+			w.r.ListNode(w.now, "g0n1", "here", "kind", 0, Removed, false, 0)
+			w.r.ListEnds(w.now)
+		},
+		"it is not named": func(w *world) { w.list(1, 1); w.list(1, 1) },
+	} {
+		w := group(t, 1, 2)
+		if len(w.barred) > 0 {
+			t.Errorf("%s: barred at the start: %v", name, w.barred)
+		}
+		if tell(w); !slices.Equal(w.barred, []string{"g0n1"}) {
+			t.Errorf("%s: barred: %v", name, w.barred)
+		}
+	}
+}
+
+// TestARepeatBeginsInItsWindow: a keyed command that may have run goes again only with what its window leaves, which
+// counts from its first dispatch.
+func TestARepeatBeginsInItsWindow(t *testing.T) {
+	w := group(t, 1, 1)
+	w.seen("g0n0", 0, Primary, 0)
+	w.arrive("k", gKeyed, 0, 4e6, 0)
+	if w.within != 0 {
+		t.Errorf("a first dispatch must begin within %d us", w.within)
+	}
+	w.step(100_000)
+	w.answer(0, Broken, RoleUnknown, 0)
+	w.beats(5)
+	if len(w.open) != 1 || w.within <= 0 || w.within > modelWindow-100_000 {
+		t.Errorf("%d out, the repeat must begin within %d us", len(w.open), w.within)
+	}
+}
+
+// TestANodeMovesToAnotherGroup: what it proved and led was of the other one's data.
+func TestANodeMovesToAnotherGroup(t *testing.T) {
+	w := newWorld(t, 1)
+	w.list(2, 2)
+	w.seen("g0n1", 0, Replica, w.now)
+	w.seen("g0n0", 0, Primary, 0)
+	for _, id := range []string{"g0n0", "g0n1"} {
+		w.shard[id] = 1
+		w.pos[id], w.leads[id] = 0, false
+		w.change(id)
+	}
+	w.arrive("a", gBounded, 0, 1e6, 0) // nobody is left there
+	w.arrive("b", gBounded, 1, 1e6, 0) // nobody is proven here; the model would complain
+	if w.beats(4); len(w.open) > 0 {
+		t.Errorf("sent to %s", w.open[0].node)
+	}
+	if p := w.r.shard.primary[0]; p >= 0 {
+		t.Errorf("%s leads a group that it left", w.r.node.id[p])
+	}
+}
+
+// TestLeave: all that is owed has its final answer, whether it waits or is out, and nothing is sent after.
+func TestLeave(t *testing.T) {
+	w := group(t, 1, 2)
+	w.seen("g0n0", 0, Primary, 0)
+	for i := range 60 {
+		w.arrive(fmt.Sprint("c", i), []int{gAny, gMutating, gKeyed, gSession}[i%4], 0, 4e6, 1e6)
+	}
+	out := len(w.open)
+	w.r.Leave()
+	for id, c := range w.cmds {
+		if !c.given {
+			t.Errorf("%s is still owed its answer", id)
+		}
+	}
+	if w.beats(10); len(w.open) > out || out == 0 {
+		t.Errorf("%d out, %d before", len(w.open), out)
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -163,6 +163,17 @@
 	r.act.Forget(s.id[n])
 }
 
+// move takes a node that the list puts into another node group there: what it proved and led was of the other.
+func (r *Router) move(n, sh int) {
+	s, from := &r.node, r.node.shard[n]
+	r.shard.members[from] = slices.DeleteFunc(r.shard.members[from], func(m int) bool { return m == n })
+	r.shard.members[sh] = append(r.shard.members[sh], n)
+	if r.shard.primary[from] == n {
+		r.shard.primary[from] = -1
+	}
+	s.shard[n], s.role[n], s.roleAt[n], s.lead[n], s.pos[n], s.posAt[n], s.lag[n] = sh, RoleUnknown, 0, false, 0, 0, 0
+}
+
 // Standing tells what is known of a node: its role, whether it is suspected, and its highest proven position, us in Unix
 // time.
 func (r *Router) Standing(id string) (role Role, suspect bool, pos int64) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -36,7 +36,12 @@
 	clientShare  = 0.6                    // of the other descriptors for clients: a command in hand takes one at each side
 	moveAway     = 500 * time.Millisecond // after SIGTERM in which clients may still come: the front moves away in 0.4 s
 	lastWait     = 300 * time.Millisecond // for clients to read their last answers
+	killFrom     = 3 * time.Second        // a client timeout longer than this doesn't move the platform's SIGKILL
+	killAfter    = 700 * time.Millisecond // after SIGTERM and the longest client timeout, at the earliest
+	killMargin   = 250 * time.Millisecond // before it at which what is still owed is answered: for the answers to leave
 	partWait     = 2 * time.Second        // for the others to be told, where that takes longer than the last answers
+	knownWait    = 1_000_000              // us for discovery's own list before an older one from the file is used: its agent
+	// answers at once where it can, and what that has counts as told from our first moment on
 )
 
 var (
@@ -166,25 +171,28 @@
 	if err != nil {
 		return err
 	}
-	index := int64(0)
-	listed := func(l *nodelist.List) {
-		e.Post(now(), func(now int64) {
-			e.Listed(now, l)
-			others.listed(l.Index)
-			front.Open()
-			me.opened()
-		})
+	listened := false // to discovery, this process; engine's goroutine
+	take := func(now int64, l *nodelist.List) {
+		listened = true
+		e.Listed(now, l)
+		others.listed(l.Index)
+		front.Open()
+		me.opened()
 	}
+	listed := func(l *nodelist.List) { e.Post(now(), func(now int64) { take(now, l) }) }
 	e.Post(now(), r.Start)
 	if known != nil {
-		index = known.Index
-		listed(known)
+		e.After(knownWait, func(now int64) {
+			if !listened {
+				take(now, known)
+			}
+		})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run()
 	moves := make(chan string, 1)
-	go nodelist.Follow(ctx, t.Discovery, index, moves, listed)
+	go nodelist.Follow(ctx, t.Discovery, nodelist.Unknown, moves, listed)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(ln) }()
 	slog.Info("serving", "name", t.Name, "listen", t.Listen, "sockets", sockets)
@@ -204,15 +212,16 @@
 			}
 			others.reload(path)
 		case <-stops:
-			return stop(e, front, me, others)
+			return stop(e, front, me, others, names.Longest)
 		case <-me.leave:
-			return stop(e, front, me, others)
+			return stop(e, front, me, others, names.Longest)
 		}
 	}
 }
 
-// stop leaves in order: the others take over while it answers what it owes.
-func stop(e *engine.Engine, front *clients.Front, me *self, others *company) error {
+// stop leaves in order: the others take over while it answers what it owes. longest is the longest client timeout, us.
+func stop(e *engine.Engine, front *clients.Front, me *self, others *company, longest int64) error {
+	last := time.Now().Add(min(time.Duration(longest)*time.Microsecond, killFrom) + killAfter - killMargin)
 	me.leaving.Store(true)
 	slog.Info("leaving", "owed", e.Owed())
 	gone := make(chan struct{})
@@ -220,25 +229,32 @@
 		others.leave()
 		close(gone)
 	}()
-	leave(e, front, gone)
+	leave(e, front, gone, last)
 	counters.Print(os.Stderr)
 	return nil
 }
 
 // leave goes on taking what still arrives while the front moves away, then ends each connection between
-// commands, and returns when nothing is owed and the others know. It serves to its end: who comes meanwhile must not
-// wait at an engine that has stopped.
-func leave(e *engine.Engine, front *clients.Front, gone <-chan struct{}) {
-	time.Sleep(moveAway)
+// commands, and returns when nothing is owed and the others know. What nodes keep to themselves until last is given up
+// then, before the platform kills. It serves to its end: who comes meanwhile must not wait at an engine that has stopped.
+func leave(e *engine.Engine, front *clients.Front, gone <-chan struct{}, last time.Time) {
+	time.Sleep(min(moveAway, time.Until(last)))
 	front.End()
 	select {
 	case <-gone:
-	case <-time.After(partWait):
+	case <-time.After(min(partWait, time.Until(last))):
 	}
-	for e.Owed() > 0 {
-		<-e.Idle()
+	alarm := time.NewTimer(time.Until(last))
+	for end := false; !end && e.Owed() > 0; {
+		select {
+		case <-e.Idle():
+		case <-alarm.C:
+			end = time.Since(last) >= killMargin/2
+			e.Leave()
+			alarm.Reset(killMargin / 2)
+		}
 	}
-	front.Wait(lastWait)
+	front.Wait(lastWait, last.Add(killMargin/2))
 	e.Stop()
 	slog.Info("left")
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -399,7 +399,7 @@
 func (o *outlet) end() { o.h.reply = append(o.h.reply, '\n') }
 
 // Dispatch implements route.Actions.
-func (o *outlet) Dispatch(cmd, node string, timeout int64) {
+func (o *outlet) Dispatch(cmd, node string, timeout, _ int64) { // what is sent here begins at once
 	o.action("transmit")
 	o.word(cmd)
 	o.word(node)
@@ -448,6 +448,9 @@
 // Forget implements route.Actions; the wire has no word for it.
 func (o *outlet) Forget(string) {}
 
+// Bar implements route.Actions; nothing waits on this wire.
+func (o *outlet) Bar(string) {}
+
 // Release implements route.Actions.
 func (o *outlet) Release(node string) {
 	o.action("drop_conns")
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -309,7 +309,7 @@
 				if n.stuck() {
 					continue
 				}
-				if _, err := conn.Write(pgwire.AppendWelcome(nil, false, 1)); err != nil {
+				if _, err := conn.Write(pgwire.AppendWelcome(nil, false, 1, 0)); err != nil {
 					return
 				}
 				continue
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -48,6 +48,7 @@
 	writing bool
 	ending  bool // nothing more is taken; our side ends once all is out
 	closed  bool // the connection's descriptor may be another's by now
+	peek    [1]byte
 }
 
 type piece struct {
@@ -194,10 +195,29 @@
 	if s.ending || s.conn.Reader().Len() > 0 {
 		return false
 	}
-	_, _, err := syscall.Recvfrom(s.fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	_, _, err := syscall.Recvfrom(s.fd, s.peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return errors.Is(err, syscall.EAGAIN)
 }
 
+// Present tells whether the peer has not gone, as the kernel knows it now: its end may have come and not been read.
+// What it sent before its end hides that.
+func (s *Stream) Present() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	n, _, err := syscall.Recvfrom(s.fd, s.peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n > 0 || err != nil && !errors.Is(err, syscall.ECONNRESET)
+}
+
+// Finished tells whether nothing more will leave: our side has ended, behind all that was queued.
+func (s *Stream) Finished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed || s.ending && !s.writing
+}
+
 // End closes the connection once all that is queued is out and read.
 func (s *Stream) End() {
 	s.mu.Lock()
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -1,11 +1,15 @@
 package stream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cloudwego/netpoll"
 )
 
 // pair opens a connection to a peer that reads nothing by itself.
@@ -87,3 +91,107 @@
 		}
 	})
 }
+
+// TestPresent: a peer's end is known before anyone has read it, whichever way it went.
+func TestPresent(t *testing.T) {
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"closed":      func(c *net.TCPConn) { c.Close() },
+		"half-closed": func(c *net.TCPConn) { c.CloseWrite() },
+		"reset":       func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := Dial(ln.Addr().String(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := New(conn)
+		s.Start(Events{Bytes: func([]byte) {}, Ended: func() {}})
+		if !s.Present() {
+			t.Errorf("%s: gone before it went", name)
+		}
+		leave(peer.(*net.TCPConn))
+		for end := time.Now().Add(5 * time.Second); s.Present(); {
+			if time.Now().After(end) {
+				t.Fatalf("%s: still present", name)
+			}
+		}
+		s.Close()
+		peer.Close()
+		ln.Close()
+	}
+}
+
+// TestSmallWritesGoOutAtOnce on both sides: what the system held back would go with a reset.
+func TestSmallWritesGoOutAtOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodelay := func(s *Stream) int {
+		v, err := syscall.GetsockoptInt(s.fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+		if err != nil {
+			t.Error(err)
+		}
+		return v
+	}
+	accepted := make(chan int, 1)
+	loop, err := netpoll.NewEventLoop(func(context.Context, netpoll.Connection) error { return nil },
+		netpoll.WithOnPrepare(func(c netpoll.Connection) context.Context {
+			accepted <- nodelay(New(c))
+			return context.Background()
+		}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go loop.Serve(ln)
+	defer loop.Shutdown(t.Context())
+	conn, err := Dial(ln.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if us, them := nodelay(New(conn)), <-accepted; us == 0 || them == 0 {
+		t.Errorf("TCP_NODELAY %d on what we open, %d on what we take", us, them)
+	}
+}
+
+// TestAnEndOverUnreadBytes guards against a reset that takes the last words with it: the peer goes on sending as our
+// side ends, reads everything, and only then is closed, in bounded time.
+func TestAnEndOverUnreadBytes(t *testing.T) {
+	s, peer, in, ended := pair(t)
+	go func() {
+		for range in {
+		}
+	}()
+	began := time.Now()
+	go func() { // it sends for longer than the linger lasts
+		for {
+			if _, err := peer.Write(make([]byte, 1000)); err != nil {
+				return
+			}
+		}
+	}()
+	s.Write([]byte("the last words"), nil)
+	s.End()
+	all := make([]byte, 0, 99)
+	for p := make([]byte, 99); ; {
+		n, err := peer.Read(p)
+		if all = append(all, p[:n]...); err != nil {
+			break
+		}
+	}
+	if string(all) != "the last words" {
+		t.Errorf("it read %q", all)
+	}
+	<-ended
+	if took := time.Since(began); took > 4*lingerWait {
+		t.Errorf("it ended after %v", took)
+	}
+}
