--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -183,8 +183,10 @@
 	all := make([]byte, 0, 99)
 	for p := make([]byte, 99); ; {
 		n, err := peer.Read(p)
-		if all = append(all, p[:n]...); err != nil {
+		if all = append(all, p[:n]...); err == io.EOF {
 			break
+		} else if err != nil {
+			t.Fatalf("it read %q and met %v, not our end", all, err)
 		}
 	}
 	if string(all) != "the last words" {
