--- a/internal/engine/crossings_test.go
+++ b/internal/engine/crossings_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	"cairntiller/internal/engine"
 	"cairntiller/internal/exchange"
+	"cairntiller/internal/nodes"
 	"cairntiller/internal/pgwire"
 	"cairntiller/internal/route"
 	"cairntiller/internal/standin/scripted"
@@ -361,3 +363,60 @@
 		t.Errorf("%d still owed", n)
 	}
 }
+
+// TestComeWhileLeaving: one that has just come brings its command with its startup, in one segment, and is served once.
+func TestComeWhileLeaving(t *testing.T) {
+	replica := scripted.Start(t, scripted.Welcome, scripted.Row+scripted.Ready)
+	r := start(t, 9, scripted.Start(t, scripted.Welcome), replica)
+	r.dial(t).Close()
+	r.front.End()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	c.Write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "portal", "crm"), "/* id=1,c=look,t=acme,d=900,cluster=0 */ SELECT '1'"))
+	until(t, c, 'Z')
+	for _, want := range []string{"row", "end"} {
+		if got := code(until(t, c, 'Z')); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+// TestAShortIdleLimit: a node that closes idle connections soon has each used again all the same, for half of that time.
+func TestAShortIdleLimit(t *testing.T) {
+	s := scripted.Start(t, scripted.Welcome, scripted.Row+scripted.Ready, scripted.Row+scripted.Ready, scripted.Row+scripted.Ready)
+	e := &ends{now: engine.Clock(), queue: make(chan func(), 999), results: make(chan result, 99)}
+	go e.run()
+	p := nodes.New(e.now, e.post, e.after, e, 500_000, 900_000, 9)
+	p.Place("n0", s.Addr)
+	for i, rest := range []time.Duration{0, 0, 700 * time.Millisecond} {
+		time.Sleep(rest) // past half of the limit, not past the limit
+		e.send(p, "n0", 0)
+		if got := <-e.results; got.o != route.Answered {
+			t.Fatal(got.o)
+		}
+		if n := len(s.Opened()); n != 1+i/2 {
+			t.Errorf("%d connections after %d queries", n, i+1)
+		}
+	}
+}
+
+// TestAnAddressMovesUnderAWait: a dispatch that waits for a connection goes to the node's new address, and the
+// connection that comes up late at the old one carries nothing.
+func TestAnAddressMovesUnderAWait(t *testing.T) {
+	before, after := hold(t), hold(t)
+	p, e := pool(t, 9, &scripted.Node{Addr: before.addr})
+	e.send(p, "n0", 0)
+	old := <-before.came
+	e.mu.Lock()
+	p.Place("n0", after.addr)
+	e.mu.Unlock()
+	before.up(old)
+	after.up(<-after.came)
+	if got := <-e.results; got.o != route.Answered || len(before.queries) != 0 || len(after.queries) != 1 {
+		t.Errorf("%d, %d queries at the old address, %d at the new one", got.o, len(before.queries), len(after.queries))
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -483,8 +483,8 @@
 
 // refill gives a cold node the part of what nodes of its kind did when warm that its warmth allows. Guards
 // rule four against any mix of routers, for each sends a part of what it alone had answered. What was seen is
-// kept, for a whole group may start cold; a router that has seen nothing warm sends next to none. What it saves up
-// unused is lost in time: all of it together may come at once, on top of what the fleet goes on to be allowed.
+// kept, for a whole group may start cold; a router that has seen nothing warm sends next to none. What it saves
+// up unused lapses in time: all routers' may come at once, on top of what the fleet goes on to be allowed.
 func (r *Router) refill(n, g int, warmth float64, now int64) {
 	s := &r.node
 	rate, peers := 0.0, 0
@@ -805,7 +805,7 @@
 	}
 }
 
-// Leave ends what is still owed, for the process will be killed before it could be answered; the order is the ids'.
+// Leave ends what is still owed, for the process will be killed before it could be answered; by id.
 func (r *Router) Leave() {
 	for _, id := range slices.Sorted(maps.Keys(r.cmds)) {
 		if c := r.cmds[id]; !c.done {
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -111,8 +112,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := New(conn)
-		s.Start(Events{Bytes: func([]byte) {}, Ended: func() {}})
+		s := New(conn) // not started: nobody is told of the end
 		if !s.Present() {
 			t.Errorf("%s: gone before it went", name)
 		}
@@ -171,9 +171,16 @@
 		}
 	}()
 	began := time.Now()
+	var ours atomic.Bool // our end has been read
+	met := make(chan time.Duration, 1)
 	go func() { // it sends for longer than the linger lasts
+		var since time.Time
 		for {
+			if since.IsZero() && ours.Load() {
+				since = time.Now()
+			}
 			if _, err := peer.Write(make([]byte, 1000)); err != nil {
+				met <- time.Since(since)
 				return
 			}
 		}
@@ -189,11 +196,54 @@
 			t.Fatalf("it read %q and met %v, not our end", all, err)
 		}
 	}
+	ours.Store(true)
 	if string(all) != "the last words" {
 		t.Errorf("it read %q", all)
 	}
+	if after := <-met; after < lingerWait/2 || after > time.Hour {
+		t.Errorf("it met a reset %v after our end", after)
+	}
 	<-ended
 	if took := time.Since(began); took > 4*lingerWait {
 		t.Errorf("it ended after %v", took)
 	}
 }
+
+// TestAWriteBehindAReset: what is written after the peer's reset has come has surely not left, also where nobody has
+// noticed the reset yet.
+func TestAWriteBehindAReset(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	conn, err := Dial(ln.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(conn) // not started: nobody is told of the end
+	peer.(*net.TCPConn).SetLinger(0)
+	peer.Close()
+	for { // the reset has come once the kernel says so; asking takes its first error away
+		if _, _, err := syscall.Recvfrom(s.fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT); !errors.Is(err, syscall.EAGAIN) {
+			break
+		}
+	}
+	done := make(chan error, 1)
+	s.Write([]byte("a command"), func(err error) { done <- err })
+	if err := <-done; !errors.Is(err, ErrUnwritten) {
+		t.Errorf("behind a reset: %v", err)
+	}
+	s.Close()
+
+	s, _, _, _ = pair(t) // the library knows of no end, and the kernel refuses its first call
+	syscall.Shutdown(s.fd, syscall.SHUT_WR)
+	s.Write([]byte("a command"), func(err error) { done <- err })
+	if err := <-done; !errors.Is(err, ErrUnwritten) {
+		t.Errorf("refused by the kernel: %v", err)
+	}
+}
