--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -296,7 +296,7 @@
 }
 
 // first tells whether a try is a client's first: a later one leaves another time than most tries do, which is
-// kept by the vote of Boyer and Moore. First ones may leave less than the timeout, last ones all that is left.
+// kept by the vote of Boyer and Moore. First ones may leave less than the timeout, last ones what is left.
 func (r *Router) first(group int, left int64) bool {
 	g := &r.group
 	same := max(left-g.firstLeft[group], g.firstLeft[group]-left) <= 2*r.tick
@@ -483,8 +483,8 @@
 
 // refill gives a cold node the part of what nodes of its kind did when warm that its warmth allows. Guards
 // rule four against any mix of routers, for each sends a part of what it alone had answered. What was seen is
-// kept, for a whole group may start cold; a router that has seen nothing warm sends next to none. What it saves
-// up unused lapses in time: all routers' may come at once, on top of what the fleet goes on to be allowed.
+// kept, for a whole group may start cold; a router that has seen nothing warm sends next to none. What it
+// saves up unused lapses in time: all of it may come at once, on top of what the fleet goes on to be allowed.
 func (r *Router) refill(n, g int, warmth float64, now int64) {
 	s := &r.node
 	rate, peers := 0.0, 0
