Take a primary's role for no position: one that hung proves nothing as it goes on

Followed: s- led its group and hung from about 4.6 s; its position stood at 740.500. Told to be a replica, it was sent reads by that.

Faulty lines: route.go, Seen: pos = max(pos, now-took) for a primary. A primary stands at the present only while it leads and runs. Ruled out by the same log lines: dispatches written late (none over 0.25 s), writes that block (none over 20 ms), reads sent beyond the bound handed over (none).

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -269,7 +269,7 @@
 		if !passed(now, r.Position) {
 			r.Position = 0
 		}
-		e.router.Seen(now, d.Node, took, role, r.Position)
+		e.router.Seen(now, d.Node, role, r.Position)
 		e.report(now, d.Node, r.Load)
 	}
 	e.router.Result(now, x.Command.ID, d.Node, d.Number, o, took, x.Final())
--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -158,15 +158,15 @@
 		c.answered, final = true, true
 	}
 	if o != TimedOut && o != Unconnected && o != Broken && o != Withdrawn && o != Unsent {
-		w.seen(f.node, w.now-f.sent, role, pos)
+		w.seen(f.node, role, pos)
 	}
 	w.r.Result(w.now, f.cmd, f.node, f.n, o, w.now-f.sent, final)
 }
 
 // seen tells the model and the module what a node said of itself in an answer.
-func (w *world) seen(node string, took int64, role Role, pos int64) {
+func (w *world) seen(node string, role Role, pos int64) {
 	w.tell(node, role, pos)
-	w.r.Seen(w.now, node, took, role, pos)
+	w.r.Seen(w.now, node, role, pos)
 }
 
 func (w *world) tell(node string, role Role, pos int64) {
@@ -174,9 +174,6 @@
 	if role != RoleUnknown {
 		w.leads[node] = role == Primary
 	}
-	if role == Primary {
-		w.pos[node] = max(w.pos[node], w.now)
-	}
 }
 
 // step lets time pass, fires timers and checks that nothing is overdue.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -151,16 +151,14 @@
 // ListFailed tells that the list is no longer followed; the old one holds, and is asked for again soon.
 func (r *Router) ListFailed(now int64) { r.followAt = now + followGap }
 
-// Seen is a node's role and position in an answer; 0 for a position that it does not tell.
-func (r *Router) Seen(now int64, id string, took int64, role Role, pos int64) {
+// Seen is a node's role and position in an answer; 0 for a position that it does not tell. A primary's role proves
+// no position: one that hung may answer as a primary when it goes on, from data that stood still meanwhile.
+func (r *Router) Seen(now int64, id string, role Role, pos int64) {
 	n, known := r.node.index[id]
 	if !known || role == RoleUnknown {
 		return
 	}
 	r.told(n, role, now)
-	if role == Primary { // it stood at the present when it answered, which is after it was sent to
-		pos = max(pos, now-took)
-	}
 	r.proven(n, pos, now)
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -157,8 +157,8 @@
 // A peer's word on a position is a proof, whatever its age: a log never goes back.
 func TestPeersPositionProves(t *testing.T) {
 	w := group(t, 1, 2)
-	w.seen("g0n1", 0, Replica, w.now-300_000)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n1", Replica, w.now-300_000)
+	w.seen("g0n0", Primary, 0)
 	w.arrive("c", gSession, 0, 1e6, 250_000)
 	w.tell("g0n1", Replica, w.cmds["c"].need)
 	w.r.Heard(w.now, "g0n1", w.now-40_000, w.cmds["c"].need, -1, false, true)
@@ -172,14 +172,14 @@
 // proves no data.
 func TestPeersRoleIsAHint(t *testing.T) {
 	w := group(t, 1, 3)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n0", Primary, 0)
 	w.r.Heard(w.now, "g0n1", w.now, 0, 1, false, true)
 	w.r.Heard(w.now, "g0n0", w.now+1, 0, -1, false, true)
 	if p := w.r.shard.primary[0]; p != 0 {
 		t.Fatal("a peer's word stood over an answer:", p)
 	}
 	w.step(listDoubt + 1)
-	w.seen("g0n2", 0, Replica, w.now)
+	w.seen("g0n2", Replica, w.now)
 	w.r.Heard(w.now, "g0n2", w.now-1_000_000, 0, 1, false, true)
 	if p := w.r.shard.primary[0]; p != 0 {
 		t.Fatal("a word from before an answer counted:", p)
@@ -201,7 +201,7 @@
 // A node that a peer alone found silent is taken after the others, and is not held to be silent.
 func TestPeersSilenceOnlyComesLast(t *testing.T) {
 	w := group(t, 1, 3)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n0", Primary, 0)
 	w.r.Heard(w.now, "g0n1", w.now-100_000, 0, 0, true, false)
 	for i := range 4 {
 		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
@@ -273,8 +273,8 @@
 // A replica past the rotation bound still serves what it is proven for when rotation has no room.
 func TestLaggardServesAnyRead(t *testing.T) {
 	w := group(t, 1, 2)
-	w.seen("g0n0", 0, Primary, 0)
-	w.seen("g0n1", 0, Replica, w.now-9_000_000)
+	w.seen("g0n0", Primary, 0)
+	w.seen("g0n1", Replica, w.now-9_000_000)
 	for i := range 20 {
 		w.arrive(fmt.Sprint("c", i), gAny, 0, 1e6, 0)
 	}
@@ -286,8 +286,8 @@
 // A session read goes to a replica only once its position is proven, and waits for the proof.
 func TestSessionReadWaitsForProof(t *testing.T) {
 	w := group(t, 1, 2)
-	w.seen("g0n1", 0, Replica, w.now-300_000)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n1", Replica, w.now-300_000)
+	w.seen("g0n0", Primary, 0)
 	w.arrive("c", gSession, 0, 1e6, 250_000)
 	if len(w.open) != 0 {
 		t.Fatal("sent unproven")
@@ -305,10 +305,10 @@
 // A write is not sent when too little of its time is left for an answer.
 func TestNoWriteInItsLastMoments(t *testing.T) {
 	w := group(t, 1, 3)
-	w.seen("g0n0", 0, Replica, 1)
+	w.seen("g0n0", Replica, 1)
 	w.arrive("c", gMutating, 0, 2e6, 0)
 	w.step(1_950_000)
-	w.seen("g0n1", 0, Primary, 0)
+	w.seen("g0n1", Primary, 0)
 	w.r.Probed(w.now, "g0n1", 1_000, Answered)
 	if c := w.cmds["c"]; c.sent != 0 || !c.given {
 		t.Fatal("sent with 50 ms left")
@@ -332,14 +332,14 @@
 
 func TestSilentPrimary(t *testing.T) {
 	w := group(t, 1, 3)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n0", Primary, 0)
 	w.arrive("trapped", gMutating, 0, 4e6, 0)
 	w.beats(110)
 	w.arrive("held", gMutating, 0, 4e6, 0)
 	if w.cmds["held"].sent != 0 || len(w.probes) == 0 {
 		t.Fatal("sent to a silent primary, or no one asked for the next")
 	}
-	w.seen("g0n2", 0, Primary, 0)
+	w.seen("g0n2", Primary, 0)
 	w.r.Probed(w.now, "g0n2", 1_000, Answered)
 	if c := w.cmds["held"]; c.sent != 1 || w.open[len(w.open)-1].node != "g0n2" {
 		t.Fatal("not sent to the successor")
@@ -372,7 +372,7 @@
 	w := group(t, 1, 2)
 	for i, role := range []Role{Primary, Replica} {
 		n, pos := fmt.Sprint("g0n", i), w.now-9_000_000
-		w.seen(n, 0, role, pos)
+		w.seen(n, role, pos)
 	}
 	w.arrive("c", gBounded, 0, 1e6, 0)
 	if sentTo(w) != "g0n0" {
@@ -385,7 +385,7 @@
 func TestReadsLeaveAPrimaryRoomForAWrite(t *testing.T) {
 	w := group(t, 1, 2)
 	for i, role := range []Role{Primary, Replica} {
-		w.seen(fmt.Sprint("g0n", i), 0, role, w.now-9_000_000)
+		w.seen(fmt.Sprint("g0n", i), role, w.now-9_000_000)
 	}
 	w.r.node.limit[0] = 4
 	for i := range 9 {
@@ -403,7 +403,7 @@
 // A swallowed dispatch, while others are answered, holds no room and is sent again where that is allowed.
 func TestSwallowedDispatchIsSentAgain(t *testing.T) {
 	w := group(t, 1, 2)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n0", Primary, 0)
 	w.arrive("keyed", gKeyed, 0, 4e6, 0)
 	w.arrive("mutating", gMutating, 0, 4e6, 0)
 	for i := range 120 {
@@ -597,7 +597,7 @@
 	for _, routers := range []int{2, 3} {
 		w := group(t, 1, 1)
 		w.r.siblings = routers
-		w.seen("g0n0", 0, Primary, 0)
+		w.seen("g0n0", Primary, 0)
 		w.r.node.limit[0] = 1.5
 		for i := range 20 {
 			w.arrive(fmt.Sprint("c", i), gMutating, 0, 4e6, 0)
@@ -814,7 +814,7 @@
 // counts from its first dispatch.
 func TestARepeatBeginsInItsWindow(t *testing.T) {
 	w := group(t, 1, 1)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n0", Primary, 0)
 	w.arrive("k", gKeyed, 0, 4e6, 0)
 	if w.within != 0 {
 		t.Errorf("a first dispatch must begin within %d us", w.within)
@@ -831,8 +831,8 @@
 func TestANodeMovesToAnotherGroup(t *testing.T) {
 	w := newWorld(t, 1)
 	w.list(2, 2)
-	w.seen("g0n1", 0, Replica, w.now)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n1", Replica, w.now)
+	w.seen("g0n0", Primary, 0)
 	for _, id := range []string{"g0n0", "g0n1"} {
 		w.shard[id] = 1
 		w.pos[id], w.leads[id] = 0, false
@@ -851,7 +851,7 @@
 // TestLeave: all that is owed has its final answer, whether it waits or is out, and nothing is sent after.
 func TestLeave(t *testing.T) {
 	w := group(t, 1, 2)
-	w.seen("g0n0", 0, Primary, 0)
+	w.seen("g0n0", Primary, 0)
 	for i := range 60 {
 		w.arrive(fmt.Sprint("c", i), []int{gAny, gMutating, gKeyed, gSession}[i%4], 0, 4e6, 1e6)
 	}
@@ -866,3 +866,22 @@
 		t.Errorf("%d out, %d before", len(w.open), out)
 	}
 }
+
+// TestAPrimaryThatHungProvesNothing: one that stood still is given up, goes on, and answers what it held as a primary:
+// its data has stood still as well, so a read that is bounded goes there only for a position that it told.
+func TestAPrimaryThatHungProvesNothing(t *testing.T) {
+	w := group(t, 1, 1)
+	w.seen("g0n0", Primary, w.now)
+	w.arrive("w", gMutating, 0, 4e6, 0)
+	w.beats(150)                                   // it stands still for three seconds
+	w.answer(0, Errored, Primary, w.now-3_000_000) // and then answers
+	w.seen("g0n0", Replica, 0)                     // before it has heard that it leads no more
+	w.arrive("r", gBounded, 0, 1e6, 0)
+	if w.beats(1); len(w.open) > 0 {
+		t.Error("sent on no proof")
+	}
+	w.seen("g0n0", Replica, w.now-100_000)
+	if w.beats(1); len(w.open) != 1 {
+		t.Error("not sent on a proof")
+	}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -215,7 +215,7 @@
 		if stand>>2 > 0 {
 			pos = (stand>>2)*1000 + o.zero
 		}
-		r.Seen(now, string(f[3]), took, role, pos)
+		r.Seen(now, string(f[3]), role, pos)
 		if len(f) > 9 {
 			o.report(now, string(f[3]), f[9], &n)
 		}
