--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -441,10 +441,15 @@
 	return pass
 }
 
-// remember keeps a write's position as its session's token.
+// remember keeps a write's position as its session's token; where its answer was cut before it told one, the present
+// stands for it, which no commit that was answered is later than.
 func (r *Router) remember(c *cmd, n int, o Outcome, _, now int64) {
 	if o == Answered && r.group.level[c.group] == Write && !r.carried && c.session != "" {
-		r.token.put(c.session, r.node.pos[c.tries[n].node], tokenMost)
+		at, pos := c.tries[n].node, now
+		if r.node.posAt[at] == now {
+			pos = r.node.pos[at]
+		}
+		r.token.put(c.session, pos, tokenMost)
 	}
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -885,3 +885,20 @@
 		t.Error("not sent on a proof")
 	}
 }
+
+// TestAWriteThatTellsNoPosition guards against a token from before the write: its answer was cut behind the row.
+func TestAWriteThatTellsNoPosition(t *testing.T) {
+	w := group(t, 1, 1)
+	w.r.Tokens(false)
+	w.seen("g0n0", Primary, w.now-500_000)
+	w.step(10_000)
+	c := &cmd{group: gMutating, session: "s", tries: []try{{node: 0}}}
+	if w.r.remember(c, 0, Answered, 0, w.now); w.r.token.get("s") != w.now {
+		t.Errorf("token %d us before the answer", w.now-w.r.token.get("s"))
+	}
+	w.seen("g0n0", Primary, w.now-1_000)
+	c.session = "t"
+	if w.r.remember(c, 0, Answered, 0, w.now); w.r.token.get("t") > w.now-1_000 {
+		t.Error("the position that its answer told does not count")
+	}
+}
