--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -151,8 +151,8 @@
 // ListFailed tells that the list is no longer followed; the old one holds, and is asked for again soon.
 func (r *Router) ListFailed(now int64) { r.followAt = now + followGap }
 
-// Seen is a node's role and position in an answer; 0 for a position that it does not tell. A primary's role proves
-// no position: one that hung may answer as a primary when it goes on, from data that stood still meanwhile.
+// Seen is a node's role and position in an answer; 0 for a position that it does not tell. A primary's role
+// proves none: one that hung may answer as a primary when it goes on, from data that stood still meanwhile.
 func (r *Router) Seen(now int64, id string, role Role, pos int64) {
 	n, known := r.node.index[id]
 	if !known || role == RoleUnknown {
@@ -441,8 +441,8 @@
 	return pass
 }
 
-// remember keeps a write's position as its session's token; where its answer was cut before it told one, the present
-// stands for it, which no commit that was answered is later than.
+// remember keeps a write's position as its session's token; where its answer was cut before it told one, the
+// present stands for it, which no commit that was answered is later than.
 func (r *Router) remember(c *cmd, n int, o Outcome, _, now int64) {
 	if o == Answered && r.group.level[c.group] == Write && !r.carried && c.session != "" {
 		at, pos := c.tries[n].node, now
