Drop a constant that nothing reads, and open a deaf peer's connection in one place in tests

readWait (clients.go) was left behind when ended connections ceased to be ranked; the set-up of a connection stood three times in stream_test.go. Behaviour and assertions as before; stream and clients tests pass.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -36,7 +36,6 @@
 	idleWait  = 2_000_000 // us without a command after which a connection may be closed
 	idlePart  = 16        // of the places, one in so many, that may stand idle for longer: whoever asked once and
 	// stays holds a place that others need, at this router and in their own limits
-	readWait   = 200_000                // us in which a client has read what stood before our end: sooner, a close could take it away
 	endingPart = 16                     // of the descriptors, one in so many, for connections that have ended and are read on
 	sweepEvery = 100 * time.Millisecond // between looks for those: a twentieth of the wait
 )
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -13,8 +13,8 @@
 	"github.com/cloudwego/netpoll"
 )
 
-// pair opens a connection to a peer that reads nothing by itself.
-func pair(t *testing.T) (*Stream, net.Conn, chan []byte, chan struct{}) {
+// deaf opens a connection to a peer that reads nothing by itself, and is not started: nobody is told of its end.
+func deaf(t *testing.T) (*Stream, net.Conn) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,7 +30,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { peer.Close() })
-	s, in, ended := New(conn), make(chan []byte, 9), make(chan struct{})
+	return New(conn), peer
+}
+
+// pair is such a connection, started.
+func pair(t *testing.T) (*Stream, net.Conn, chan []byte, chan struct{}) {
+	t.Helper()
+	s, peer := deaf(t)
+	in, ended := make(chan []byte, 9), make(chan struct{})
 	s.Start(Events{Bytes: func(p []byte) { in <- append([]byte(nil), p...) }, Ended: func() { close(ended) }})
 	return s, peer, in, ended
 }
@@ -100,19 +107,7 @@
 		"half-closed": func(c *net.TCPConn) { c.CloseWrite() },
 		"reset":       func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn, err := Dial(ln.Addr().String(), time.Second)
-		if err != nil {
-			t.Fatal(err)
-		}
-		peer, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		s := New(conn) // not started: nobody is told of the end
+		s, peer := deaf(t)
 		if !s.Present() {
 			t.Errorf("%s: gone before it went", name)
 		}
@@ -123,8 +118,6 @@
 			}
 		}
 		s.Close()
-		peer.Close()
-		ln.Close()
 	}
 }
 
@@ -212,20 +205,7 @@
 // TestAWriteBehindAReset: what is written after the peer's reset has come has surely not left, also where nobody has
 // noticed the reset yet.
 func TestAWriteBehindAReset(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	conn, err := Dial(ln.Addr().String(), time.Second)
-	if err != nil {
-		t.Fatal(err)
-	}
-	peer, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := New(conn) // not started: nobody is told of the end
+	s, peer := deaf(t)
 	peer.(*net.TCPConn).SetLinger(0)
 	peer.Close()
 	for { // the reset has come once the kernel says so; asking takes its first error away
