--- a/cmd/proof/known_red_test.go
+++ b/cmd/proof/known_red_test.go
@@ -22,6 +22,7 @@
 		"a listed one fails":     {red, failed, 1, 0, "KNOWN RED: a/b TestRed"},
 		"one of another package": {strings.Replace(red, "a/b", "a/d", 1), failed, 1, 1, "not listed"},
 		"one like it":            {strings.Replace(red, "TestRed", "TestRe", 1), failed, 1, 1, "not listed"},
+		"a longer package path":  {"x/" + red, failed, 1, 1, "not listed: a/b TestRed"},
 		"and another fails":      {red, "--- FAIL: TestOther (0.00s)\n" + failed, 1, 1, "not listed: a/b TestOther"},
 		"another in between":     {red, strings.Replace(failed, "ok  \ta/c\t0.1s\n", "--- FAIL: TestRed (0.00s)\nFAIL\nFAIL\ta/c\t0.1s\n", 1), 1, 1, "not listed: a/c TestRed"},
 		"a listed one passes":    {red, "ok  \ta/b\t0.1s\n", 0, 0, "remove its line"},
