--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -689,12 +689,15 @@
 			break // it has lingered for long enough
 		}
 	}
+	// Twice: what the library has read and given back lies in its pools, and those are emptied by the second one. How
+	// much that is goes by how late its reader gets a core: with 15 ms it was 25 MB, none of it kept.
+	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	if got := brief(until(t, c, 'E')); got != "08P01" {
 		t.Errorf("%q", got)
 	}
-	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 8<<20 {
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 1<<20 {
 		t.Errorf("%d bytes more in use", grown)
 	}
 }
