Let a write that is out, or may have run, stand for the token that its router remembers

The node had committed and written the answer; not one byte of it came; the read went to a replica proven at the token from before that write, 0.6 to 8.7 s too old. Ruled out there: late and second answers, cut answers that told a position, a primary that hung, rounding. Faulty lines: route.go, admit (the token was read once, at arrival) and remember (only an answer counted).

--- a/internal/route/helpers_test.go
+++ b/internal/route/helpers_test.go
@@ -23,6 +23,9 @@
 	dropped []string           // nodes whose idle connections were released
 	barred  []string           // nodes at which nothing more may begin
 	within  int64              // the last dispatch's bound
+
+	remembered bool  // the module keeps the session's token; the model has one session
+	token      int64 // what a write of it that ended was at, at the latest
 }
 
 type taken struct {
@@ -53,6 +56,7 @@
 	modelCold   = 10_000_000
 	modelFrom   = 0.2
 	modelFall   = 2_000_000
+	modelAnswer = 100_000
 	modelRate   = 50.0 // commands a second that a warm node of the model can do
 )
 
@@ -75,9 +79,15 @@
 	return w
 }
 
+// remember lets the module keep the session's token.
+func (w *world) remember() {
+	w.remembered = true
+	w.r.Tokens(false)
+}
+
 // restart replaces the instance; what the old one held is no longer its duty.
 func (w *world) restart(seed uint64) {
-	w.cmds, w.open, w.probes, w.timers = map[string]*taken{}, nil, nil, nil
+	w.cmds, w.open, w.probes, w.timers, w.token = map[string]*taken{}, nil, nil, nil, 0
 	w.pos, w.leads, w.cold = map[string]int64{}, map[string]bool{}, map[string][]int64{}
 	r := New(seed, w)
 	r.Place("here", 1, 5_000)
@@ -91,7 +101,7 @@
 	}
 	r.Dispatches(6, true, seed%2 == 0)
 	r.Probes(true, true, true)
-	r.Tokens(true)
+	r.Tokens(!w.remembered)
 	r.ColdStart(modelCold, modelFrom, 2, modelFall)
 	r.Drains(false)
 	w.r = r
@@ -138,7 +148,7 @@
 	levels := []Read{Any, Bounded, Session, Fresh, Write, Write, Any}
 	c := &taken{effect: effects[group], level: levels[group], shard: shard, arrived: w.now,
 		deadline: w.now + left}
-	if c.level == Session && since > 0 {
+	if c.level == Session && since > 0 && !w.remembered {
 		c.need = w.now - since
 	}
 	w.cmds[id] = c
@@ -153,6 +163,13 @@
 	c := w.cmds[f.cmd]
 	c.open--
 	c.ran = c.ran || !o.NeverRan()
+	if c.level == Write && !o.NeverRan() {
+		at := w.now
+		if o == Answered && pos > 0 && role != RoleUnknown {
+			at = pos
+		}
+		w.token = max(w.token, at)
+	}
 	final := c.given || c.answered
 	if o == Answered && !final {
 		c.answered, final = true, true
@@ -244,6 +261,14 @@
 	case Any, Write:
 		fresh = true
 	case Session:
+		if w.remembered { // each write that is out may have been answered, but for the last moment
+			c.need = w.token
+			for _, f := range w.open {
+				if w.cmds[f.cmd].level == Write && w.now-f.sent > modelAnswer {
+					c.need = max(c.need, w.now-modelAnswer)
+				}
+			}
+		}
 		fresh = fresh || c.need == 0 || w.pos[node] >= c.need
 	case Bounded:
 		fresh = fresh || w.pos[node] >= w.now-modelBound
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -68,6 +68,7 @@
 	goneKept      = 3e6     // us for which a node that left the list is remembered: a list may err
 	followGap     = 1e6     // us before a list that failed is asked for again: it may be overloaded
 	tokenMost     = 50_000  // sessions remembered in each of two generations
+	answerLag     = 100_000 // us that an answer is on its way at most, as clients may count on
 	deadlineGuard = 40_000  // us before the client timeout at which a held command is answered: two beats
 )
 
@@ -407,17 +408,14 @@
 	}
 }
 
-// admit sets, once, the position that a session read needs, and a command's value: what lies over its
-// tenant's share waits behind the rest. Guards against floods; harms a tenant spread unevenly. It lets in
-// what the group's gate allows of reads: against overload that one of many routers cannot see at any node.
+// admit sets, once, a command's value: what lies over its tenant's share waits behind the rest. Guards
+// against floods; harms a tenant spread unevenly. It lets in what the group's gate allows of reads:
+// against overload that one of many routers cannot see at any node.
 func (r *Router) admit(c *cmd, now int64) verdict {
 	if c.admitted {
 		return pass
 	}
 	c.admitted = true
-	if r.group.level[c.group] == Session && !r.carried {
-		c.need = r.token.get(c.session)
-	}
 	t := &r.tenant
 	c.value = r.group.benefit[c.group]
 	if c.tenant >= 0 && c.tenant < len(t.quota) && t.quota[c.tenant] > 0 {
@@ -441,18 +439,32 @@
 	return pass
 }
 
-// remember keeps a write's position as its session's token; where its answer was cut before it told one, the
-// present stands for it, which no commit that was answered is later than.
+// remember keeps a write's position as its session's token. Where none was told, for the answer was cut
+// before it or did not come, the present stands for it, which no commit that was answered is later than.
 func (r *Router) remember(c *cmd, n int, o Outcome, _, now int64) {
-	if o == Answered && r.group.level[c.group] == Write && !r.carried && c.session != "" {
-		at, pos := c.tries[n].node, now
-		if r.node.posAt[at] == now {
+	if r.group.level[c.group] != Write || r.carried || c.session == "" {
+		return
+	}
+	r.token.ended(c.session)
+	if at, pos := c.tries[n].node, now; !o.NeverRan() {
+		if o == Answered && r.node.posAt[at] == now {
 			pos = r.node.pos[at]
 		}
 		r.token.put(c.session, pos, tokenMost)
 	}
 }
 
+// recollect finds the position that a session read sent now needs. A write that is still out may have been
+// answered since long: then it needs what is as new as such an answer. Guards against answers that the
+// network swallows; a session whose write hangs reads where positions were proven just now, the primary at
+// the last.
+func (r *Router) recollect(c *cmd, now int64) {
+	c.need = r.token.get(c.session)
+	if sent := r.token.out[c.session].first; sent > 0 && now-sent > answerLag {
+		c.need = max(c.need, now-answerLag)
+	}
+}
+
 // serves tells whether a node may be sent anything now.
 func (r *Router) serves(n int, now int64) bool {
 	return r.listed(n) && !r.node.suspect[n] && now >= r.node.restTill[n]
@@ -600,6 +612,9 @@
 	if lv := r.group.level[c.group]; lv == Write || lv == Fresh {
 		return pass
 	}
+	if r.group.level[c.group] == Session && !r.carried {
+		r.recollect(c, now)
+	}
 	s, m, p, share := &r.node, r.shard.members[c.shard], r.shard.primary[c.shard], 1.0
 	r.shard.turn[c.shard]++
 	if c.value < r.group.benefit[c.group] {
@@ -689,6 +704,9 @@
 	s, n := &r.node, c.to
 	within := r.within(c, now)
 	s.begin(c, n, now)
+	if r.group.level[c.group] == Write && !r.carried && c.session != "" {
+		r.token.began(c.session, now)
+	}
 	if r.warmth(n, now) < 1 {
 		s.credit[n] -= r.group.usual[c.group]
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -20,6 +20,9 @@
 func play(t testing.TB, seed uint64, mood uint8, steps int) {
 	rnd := rand.New(rand.NewSource(int64(seed)))
 	w := newWorld(t, seed)
+	if mood%2 == 1 {
+		w.remember()
+	}
 	const shards, members = 2, 4
 	primary := []string{"g0n0", "g1n0"}
 	lag, hung, served := map[string]int64{}, map[string]bool{}, map[string]int64{}
@@ -902,3 +905,40 @@
 		t.Error("the position that its answer told does not count")
 	}
 }
+
+// TestAWriteThatIsOut guards against a read beside a write whose answer the network swallowed: it may have been given,
+// and a replica that was proven before is too old then, the whole time until the write has ended and behind that.
+func TestAWriteThatIsOut(t *testing.T) {
+	w := group(t, 2, 2)
+	w.remember()
+	w.seen("g0n0", Primary, 0)
+	w.seen("g0n1", Replica, w.now-20_000)
+	w.arrive("w", gKeyed, 0, 4e6, 0)
+	w.beats(4)
+	w.arrive("soon", gSession, 0, 1e6, 0) // an answer given since may still be on its way
+	if n := len(w.open); n != 2 || w.open[1].node != "g0n1" {
+		t.Fatalf("beside a write just sent: %+v", w.open)
+	}
+	w.beats(10)
+	w.open = w.open[:1]
+	w.seen("g0n1", Replica, w.now-120_000)
+	w.arrive("late", gSession, 0, 1e6, 0)
+	if len(w.open) != 1 {
+		t.Fatalf("beside a write long sent: %+v", w.open[1])
+	}
+	w.seen("g0n1", Replica, w.now-10_000)
+	if w.beats(1); len(w.open) != 2 || w.open[1].node != "g0n1" {
+		t.Fatalf("on a proof as new as any answer: %+v", w.open)
+	}
+	w.open[0].withdrawn = true
+	w.answer(0, Broken, RoleUnknown, 0)
+	if w.token != w.now || w.r.token.get("s") != w.now {
+		t.Errorf("behind a write that may have run: token %d us ago", w.now-w.r.token.get("s"))
+	}
+	for len(w.open) > 0 { // its repeat too
+		w.answer(0, Answered, RoleUnknown, 0)
+	}
+	if n := len(w.r.token.out); n > 0 {
+		t.Errorf("%d writes are taken to be out", n)
+	}
+}
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"slices"
@@ -284,6 +285,29 @@
 type tokens struct {
 	young, old map[string]int64
 	floor      int64
+	out        map[string]writing // sessions whose writes are out
+}
+
+// writing is what a session has written and not had the end of.
+type writing struct {
+	dispatches int
+	first      int64 // when the first of them was sent
+}
+
+func (t *tokens) began(session string, now int64) {
+	if t.out == nil {
+		t.out = make(map[string]writing)
+	}
+	w := t.out[session]
+	t.out[session] = writing{w.dispatches + 1, cmp.Or(w.first, now)}
+}
+
+func (t *tokens) ended(session string) {
+	if w := t.out[session]; w.dispatches > 1 {
+		t.out[session] = writing{w.dispatches - 1, w.first}
+	} else {
+		delete(t.out, session)
+	}
 }
 
 func (t *tokens) put(session string, pos int64, most int) {
