--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -728,8 +728,9 @@
 // coldSends lets a fleet want all it can of a cold node, from a time on, and returns what all routers together sent
 // it, as the largest excess over what chance allows on its budget: N + 2 sqrt(N) + 2 commands in any modelFall.
 // Routers share nothing. Traffic is uneven, up to several times the mean; of so many in ten, the process is new and has
-// seen nothing warm.
-func coldSends(t *testing.T, routers int, wait int64, newInTen int) (excess float64, sent int) {
+// seen nothing warm. With a shift, one router in five takes all traffic from the node's start on, and its figures of the
+// warm nodes follow as they do, over rateSpan; the others want nothing any more.
+func coldSends(t *testing.T, routers int, wait int64, newInTen int, shift bool) (excess float64, sent int) {
 	fleet := make([]*world, routers)
 	part := make([]float64, routers) // of the fleet's traffic
 	all := 0.0
@@ -750,13 +751,20 @@
 		for i, w := range fleet {
 			w.cold = map[string][]int64{} // one router's own excess is not what is looked for
 			w.step(now - w.now)
-			s := &w.r.node
+			s, mine, old := &w.r.node, part[i]/all, 0.0
+			if shift {
+				if old = math.Exp(-float64(now-began) / rateSpan); i%5 == 4 {
+					mine = old*mine + (1-old)/float64(routers/5)
+				} else {
+					mine *= old
+				}
+			}
 			if s.warmRate[0] = 0; i%10 >= newInTen {
-				s.warmRate[0] = part[i] / all * modelRate * w.r.group.usual[gAny]
+				s.warmRate[0] = mine * modelRate * w.r.group.usual[gAny]
 			}
 			s.warmRate[1], s.limit[2] = s.warmRate[0], 1e9
 			s.restTill[0], s.restTill[1] = now+1e6, now+1e6 // the warm ones have no room
-			for j := 0; len(w.r.shard.waiting[0]) < 2 && j < 3; j++ {
+			for j := 0; (!shift || i%5 == 4) && len(w.r.shard.waiting[0]) < 2 && j < 3; j++ {
 				w.arrive(fmt.Sprint(now, "-", j), gAny, 0, 1e6, 0)
 			}
 			for len(w.open) > 0 {
@@ -783,8 +791,10 @@
 		routers int
 		wait    int64
 		fresh   int // of ten
-	}{{3, 0, 0}, {3, 8e6, 0}, {20, 0, 0}, {20, 8e6, 0}, {30, 3e6, 0}, {30, 8e6, 0}, {30, 8e6, 7}, {300, 6e6, 0}} {
-		excess, sent := coldSends(t, c.routers, c.wait, c.fresh)
+		shift   bool
+	}{{3, 0, 0, false}, {3, 8e6, 0, false}, {20, 0, 0, false}, {20, 8e6, 0, false}, {30, 3e6, 0, false}, {30, 8e6, 0, false},
+		{30, 8e6, 7, false}, {300, 6e6, 0, false}, {30, 0, 0, true}, {30, 1e6, 0, true}, {30, 4e6, 0, true}} {
+		excess, sent := coldSends(t, c.routers, c.wait, c.fresh, c.shift)
 		if excess > 0 || sent == 0 {
 			t.Errorf("%+v: %d sent, %.1f over", c, sent, excess)
 		}
--- a/internal/serve/crossings_test.go
+++ b/internal/serve/crossings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -183,3 +184,50 @@
 	connect(t, listen).Close()
 	stopped(t, ended)
 }
+
+// TestAReloadDuringAHandOver: the lead has passed on, as the new primary's own answer told, and a reload leads to a
+// discovery whose older list marks the former one: the answer counts, and nothing is asked of that one.
+func TestAReloadDuringAHandOver(t *testing.T) {
+	miss := scripted.Status("role", "replica") + scripted.Failure(pgwire.CodeNoPrimary) + scripted.Ready
+	row := scripted.Status("role", "primary") + scripted.Row + scripted.Ready
+	was, leads := scripted.Start(t, scripted.Welcome, miss, miss, miss, miss), scripted.Start(t, scripted.Welcome, row, row)
+	list := func(index int, taken chan bool, first, second string) http.HandlerFunc {
+		replica := strings.Replace(second, `"primary"`, `"replica"`, 1)
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.RawQuery == "" {
+				fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[%s,%s]}`, index, first, replica)
+				return
+			}
+			select {
+			case taken <- true: // it follows what it has taken in
+			default:
+			}
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}
+	a, b, taken := entry("was", was.Addr, "active"), entry("leads", leads.Addr, "active"), make(chan bool, 9)
+	listen, ended := begin(t, "", list(9, make(chan bool), b, a))
+	c := connect(t, listen)
+	c.ready(t)
+	if got := c.ask(t, "/* id=1,c=put,d=900,cluster=3 */ INSERT"); !strings.HasSuffix(got, scripted.Row+scripted.Ready) {
+		t.Errorf("at the hand-over: %q", got)
+	}
+	next := httptest.NewServer(list(3, taken, a, b))
+	t.Cleanup(next.Close)
+	if err := os.WriteFile(os.Getenv("RELAY_CONFIG"), fmt.Appendf(nil, config, listen, strings.TrimPrefix(next.URL, "http://")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Kill(syscall.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	<-taken
+	if got := c.ask(t, "/* id=2,c=put,d=900,cluster=3 */ INSERT"); !strings.HasSuffix(got, scripted.Row+scripted.Ready) {
+		t.Errorf("behind the reload: %q", got)
+	}
+	if n := len(was.Queries); n > 0 {
+		t.Errorf("the former primary was asked %d times", n)
+	}
+	c.Close()
+	stopped(t, ended)
+}
