--- a/internal/engine/crossings_test.go
+++ b/internal/engine/crossings_test.go
@@ -68,20 +68,6 @@
 	}()
 }
 
-func (e *ends) dispatch(p interface{ Send(*exchange.Dispatch) }, client exchange.Client, within int64) *exchange.Exchange {
-	c, err := pgwire.DecodeCommand([]byte("/* id=1,c=look,d=1000,cluster=0 */ SELECT '1'"))
-	if err != nil {
-		panic(err)
-	}
-	now := e.now()
-	x := exchange.New(c, client, 0, -1, now)
-	d := x.Begin("n0", now, 0, within)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p.Send(d)
-	return x
-}
-
 // TestLookedAtAgainAsItBegins: what was true as a dispatch was decided is looked at again as its connection comes up:
 // whether its client is there, its command owed an answer, its window of repeats open, its node in use. None is written.
 func TestLookedAtAgainAsItBegins(t *testing.T) {
@@ -101,7 +87,7 @@
 			t.Parallel()
 			h := hold(t)
 			p, e := pool(t, 9, &scripted.Node{Addr: h.addr})
-			x := e.dispatch(p, c.client, c.within)
+			x := e.dispatch(p, "n0", c.client, 0, c.within).Exchange
 			conn := <-h.came // it waits for this one
 			e.mu.Lock()
 			if c.meanwhile != nil {
@@ -113,7 +99,7 @@
 			if c.want == "unsent" && got.o != route.Unsent || c.want == "written" && got.o != route.Answered {
 				t.Errorf("%d, want it %s", got.o, c.want)
 			}
-			e.dispatch(p, patient{}, 0) // the connection is as good as before; nothing else was ever written on it
+			e.send(p, "n0", 0) // the connection is as good as before; nothing else was ever written on it
 			if c.want == "unsent" {
 				if got := <-e.results; got.o != route.Answered || len(h.queries) != 1 {
 					t.Errorf("the next one: %d, %d queries", got.o, len(h.queries))
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -78,12 +78,17 @@
 }
 
 func (e *ends) send(p *nodes.Pool, node string, timeout int64) *exchange.Dispatch {
+	return e.dispatch(p, node, patient{}, timeout, 0)
+}
+
+// dispatch gives the pool a command's first dispatch, with what its client says and how soon it must begin.
+func (e *ends) dispatch(p *nodes.Pool, node string, client exchange.Client, timeout, within int64) *exchange.Dispatch {
 	c, err := pgwire.DecodeCommand([]byte("/* id=1,c=look,d=1000,cluster=0 */ SELECT '1'"))
 	if err != nil {
 		panic(err)
 	}
 	now := e.now()
-	d := exchange.New(c, patient{}, 0, -1, now).Begin(node, now, timeout, 0)
+	d := exchange.New(c, client, 0, -1, now).Begin(node, now, timeout, within)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p.Send(d)
