--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -454,15 +454,12 @@
 	}
 }
 
-// recollect finds the position that a session read sent now needs. A write that is still out may have been
-// answered since long: then it needs what is as new as such an answer. Guards against answers that the
-// network swallows; a session whose write hangs reads where positions were proven just now, the primary at
-// the last.
+// recollect finds the position that a session read needs now. A write that is still out may have been answered
+// since long: then it needs what is as new as such an answer. Guards against answers that the network swallows;
+// a session whose write hangs reads where positions were proven just now, the primary where none keeps up.
 func (r *Router) recollect(c *cmd, now int64) {
-	c.need = r.token.get(c.session)
-	if sent := r.token.out[c.session].first; sent > 0 && now-sent > answerLag {
-		c.need = max(c.need, now-answerLag)
-	}
+	sent := r.token.out[c.session].first
+	c.need, c.doubt = r.token.get(c.session), sent > 0 && now-sent > answerLag
 }
 
 // serves tells whether a node may be sent anything now.
@@ -580,8 +577,11 @@
 
 // needs is the position that a read sent at a time must find; 0 where any will do.
 func (r *Router) needs(c *cmd, at int64) int64 {
-	if r.group.level[c.group] == Bounded {
+	switch {
+	case r.group.level[c.group] == Bounded:
 		return at - r.group.bound[c.group]
+	case c.doubt:
+		return max(c.need, at-answerLag)
 	}
 	return c.need
 }
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -33,6 +33,7 @@
 	holdUntil                  int64 // latest time at which it may still be waiting unsent
 	prime                      int64 // latest time for sending it that is likely to meet the target
 	need                       int64 // position its data must have reached; 0 for none
+	doubt                      bool  // a write of its session may have been answered unseen
 	value                      float64
 	to                         int // node chosen for the next dispatch
 	tries                      []try
