--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -454,9 +454,10 @@
 	}
 }
 
-// recollect finds the position that a session read needs now. A write that is still out may have been answered
-// since long: then it needs what is as new as such an answer. Guards against answers that the network swallows;
-// a session whose write hangs reads where positions were proven just now, the primary where none keeps up.
+// recollect finds the position that a session read needs now. A write that is still out may have been
+// answered since long: then it needs what is as new as such an answer. Guards against answers that the
+// network swallows; a session whose write hangs reads where positions were proven just now, the primary
+// where none keeps up.
 func (r *Router) recollect(c *cmd, now int64) {
 	sent := r.token.out[c.session].first
 	c.need, c.doubt = r.token.get(c.session), sent > 0 && now-sent > answerLag
