--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -439,10 +439,15 @@
 	return pass
 }
 
+// tokened tells whether a command is a write whose position this router remembers for its session.
+func (r *Router) tokened(c *cmd) bool {
+	return r.group.level[c.group] == Write && !r.carried && c.session != ""
+}
+
 // remember keeps a write's position as its session's token. Where none was told, for the answer was cut
 // before it or did not come, the present stands for it, which no commit that was answered is later than.
 func (r *Router) remember(c *cmd, n int, o Outcome, _, now int64) {
-	if r.group.level[c.group] != Write || r.carried || c.session == "" {
+	if !r.tokened(c) {
 		return
 	}
 	r.token.ended(c.session)
@@ -705,7 +710,7 @@
 	s, n := &r.node, c.to
 	within := r.within(c, now)
 	s.begin(c, n, now)
-	if r.group.level[c.group] == Write && !r.carried && c.session != "" {
+	if r.tokened(c) {
 		r.token.began(c.session, now)
 	}
 	if r.warmth(n, now) < 1 {
