Leave a request alone that can't be hedged while its answer may be on the way

Callers saw: a late read whose last allowed attempt was in flight was rejected at once, and its attempt canceled.

Cause: hedge takes the request through all stages, and checkDeadline gives up whatever mustGiveUp names (no attempt left, 40 ms to the deadline) without a look whether an attempt is in flight. Now only a request with nothing in flight is given up there.

--- a/internal/routing/deadlines.go
+++ b/internal/routing/deadlines.go
@@ -41,7 +41,8 @@
 }
 
 // checkDeadline is the first stage. It gives up a request that can't be answered in time, has waited as long as it may,
-// has no attempt left, or whose idempotency window has passed. A request that is about to miss its latency objective
+// has no attempt left, or whose idempotency window has passed. One with an attempt in flight is never given up, only not
+// hedged: the attempt may be answered in time. A request that is about to miss its latency objective
 // loses weight, so that it goes behind those that can still meet it.
 func (r *Router) checkDeadline(req *request, now int64) decision {
 	if now > req.sendBefore && !req.late {
@@ -51,11 +52,13 @@
 	if req.inFlight > 0 && !r.mayHedgeInTime(req, now) {
 		return stop
 	}
-	if r.mustGiveUp(req, now) {
+	if !r.mustGiveUp(req, now) {
+		return proceed
+	}
+	if req.inFlight == 0 {
 		r.giveUp(req)
-		return stop
 	}
-	return proceed
+	return stop
 }
 
 // mustGiveUp reports whether a request may not be sent (any more).
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -23,6 +23,7 @@
 	// What it knows of the requests.
 	requests   map[string]*modelRequest // all that the present Router ever took
 	inFlight   []modelAttempt
+	ending     bool  // the process is about to be ended, so even what is in flight is given up
 	remembered bool  // the Router keeps session tokens; the model has one session
 	token      int64 // what a write of the session that ended was at, at the latest
 
@@ -324,6 +325,11 @@
 	if c == nil || c.finished || c.answered {
 		w.t.Fatalf("lost: second final answer for %s", id)
 	}
+	for _, a := range w.inFlight {
+		if a.request == id && !a.canceled && !w.ending {
+			w.t.Fatalf("given up: %s with attempt %d in flight at %s, %d us before its deadline", id, a.n, a.node, c.deadline-w.now)
+		}
+	}
 	if rejected && c.idempotency != Idempotent && (c.mayHaveExecuted || c.open > 0) {
 		w.t.Fatalf("effect: %s rejected though it may have been executed", id)
 	}
--- a/internal/routing/rules_test.go
+++ b/internal/routing/rules_test.go
@@ -8,7 +8,7 @@
 
 // FuzzRules plays generated days against the Router; the model fails the test at any breach of the rules.
 func FuzzRules(f *testing.F) {
-	for seed := range uint64(24) {
+	for seed := range uint64(36) {
 		f.Add(seed, uint8(seed*37))
 	}
 	f.Fuzz(func(t *testing.T, seed uint64, trouble uint8) { playDay(t, seed, trouble, 4000) })
@@ -17,6 +17,8 @@
 const (
 	dayShards  = 2
 	dayMembers = 4
+	// sixAttemptsBelow is the first seed whose days allow another number of attempts than six, by the seed.
+	sixAttemptsBelow = 24
 )
 
 // day is one generated day: what the nodes are like in truth.
@@ -45,6 +47,9 @@
 	if trouble%2 == 1 {
 		d.remember()
 	}
+	if seed >= sixAttemptsBelow {
+		d.r.config.Attempts.Max = 1 + int(seed%6)
+	}
 	d.list(dayShards, dayMembers)
 	for range steps {
 		name := fmt.Sprintf("g%dn%d", d.rnd.Intn(dayShards), d.rnd.Intn(dayMembers))
@@ -224,6 +229,7 @@
 		w.arrive(fmt.Sprint("c", i), []int{eventualRead, plainWrite, keyedWrite, sessionRead}[i%4], 0, 4e6, 1e6)
 	}
 	inFlight := len(w.inFlight)
+	w.ending = true
 	w.r.Shutdown()
 	for id, c := range w.requests {
 		if !c.finished {
