Charge the hedging budget when a hedge is sent, and look at it again after the queue

Callers saw: late reads without a hedge although a node could answer, the budget spent on hedges that were queued and not sent.

Cause: hedge charged before the stages decided; a queued hedge was then sent without another look at the budget. startAttempt charges now what it sends beside another attempt, and mayHedge holds the rule, also for what was queued.

Evidence: both new tests fail on the code before (budget 0.1 in place of 1.1 with nothing sent; four attempts of two reads where the budget has one).

--- a/internal/routing/deadlines.go
+++ b/internal/routing/deadlines.go
@@ -49,7 +49,7 @@
 		req.late = true
 		req.weight *= req.group.LateWeight
 	}
-	if req.inFlight > 0 && !r.mayHedgeInTime(req, now) {
+	if req.inFlight > 0 && !r.mayHedge(req, now) {
 		return stop
 	}
 	if !r.mustGiveUp(req, now) {
--- a/internal/routing/hedging_test.go
+++ b/internal/routing/hedging_test.go
@@ -65,3 +65,48 @@
 		t.Fatalf("in flight: %+v, given up: %v", w.inFlight, w.requests["c"].finished)
 	}
 }
+
+// A late read finds no node for its hedge, because none has capacity, and is queued. Only a hedge that is sent may be paid
+// for: seen, each of them took one out of the budget, which was empty when a node could have answered.
+func TestHedgeIsPaidForWhenSent(t *testing.T) {
+	w := newShard(t, 2, 2)
+	w.r.groups[eventualRead].usualResponse = 20_000
+	w.sweeps(1)
+	primary := w.known("g0n0")
+	primary.coolDownUntil = w.now + 9e6
+	w.r.hedgingBudget = 1
+	w.arrive("c", eventualRead, 0, 1e6, 0)
+	w.sweeps(7)
+	if c := w.requests["c"]; c.sent != 1 || w.r.hedgingBudget < 1 {
+		t.Fatalf("sent %d times, budget %v, before any node can take the hedge", c.sent, w.r.hedgingBudget)
+	}
+	primary.coolDownUntil = 0
+	w.sweeps(1)
+	if c := w.requests["c"]; c.sent != 2 || w.r.hedgingBudget >= 1 {
+		t.Fatalf("sent %d times, budget %v, once a node can take the hedge", c.sent, w.r.hedgingBudget)
+	}
+}
+
+// Two late reads are queued for a hedge while the budget allows one. The second stays with its first attempt: the budget
+// bounds what hedges cost, however long they were queued.
+func TestQueuedHedgesStayWithinTheBudget(t *testing.T) {
+	w := newShard(t, 2, 2)
+	w.r.groups[eventualRead].usualResponse = 20_000
+	w.sweeps(1)
+	primary := w.known("g0n0")
+	primary.coolDownUntil = w.now + 9e6
+	w.known("g0n1").limit = 8
+	w.r.hedgingBudget = 0.5
+	w.arrive("a", eventualRead, 0, 1e6, 0)
+	w.arrive("b", eventualRead, 0, 1e6, 0)
+	for _, id := range []string{"a", "b"} {
+		w.r.requests[id].shard.enqueue(w.r.requests[id])
+	}
+	w.known("g0n1").suspected = true // no replica will take them, so the primary does
+	primary.coolDownUntil = 0
+	primary.limit = 8
+	w.step(20_000)
+	if sent := w.requests["a"].sent + w.requests["b"].sent; sent != 3 || w.r.hedgingBudget < 0 {
+		t.Fatalf("%d attempts of two reads, budget %v", sent, w.r.hedgingBudget)
+	}
+}
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -16,6 +16,9 @@
 func (r *Router) startAttempt(req *request, now int64) decision {
 	n := req.chosen
 	startWithin := r.startWithin(req, now)
+	if req.inFlight > 0 {
+		r.hedgingBudget-- // only a hedge that is sent is paid for
+	}
 	r.openAttempt(req, n, now)
 	if r.setsToken(req) {
 		r.sessions.writeStarted(req.session, now)
