Cancel an attempt for a retry only where its request may still be answered

Callers saw: requests rejected or failed while their last attempt was in flight: no attempt left, the last 40 ms, or (writes with a key) the idempotency window over.

Cause: cancelRepeatable, giveUpLost and a change of primary cancel so that the request can be sent again, and never asked whether it can be. cancelForRetry does; mayRetry is the one rule, and mustGiveUp is made of it.

--- a/internal/routing/deadlines.go
+++ b/internal/routing/deadlines.go
@@ -41,8 +41,8 @@
 }
 
 // checkDeadline is the first stage. It gives up a request that can't be answered in time, has waited as long as it may,
-// has no attempt left, or whose idempotency window has passed. One with an attempt in flight is never given up, only not
-// hedged: the attempt may be answered in time. A request that is about to miss its latency objective
+// has no attempt left, or whose idempotency window has passed. One with an attempt in flight is never given up: it is only not
+// hedged, and the attempt goes on, for it may be answered in time. A request that is about to miss its latency objective
 // loses weight, so that it goes behind those that can still meet it.
 func (r *Router) checkDeadline(req *request, now int64) decision {
 	if now > req.sendBefore && !req.late {
@@ -66,9 +66,14 @@
 	if now >= req.queueUntil && !req.mayHaveExecuted && req.inFlight == 0 {
 		return true
 	}
+	return !r.mayRetry(req, now)
+}
+
+// mayRetry reports whether one more attempt of a request may begin, whatever becomes of those in flight: there is time for
+// its answer, an attempt is left, and a request with a key is inside its idempotency window.
+func (r *Router) mayRetry(req *request, now int64) bool {
 	if now >= req.deadline-deadlineMargin || len(req.attempts) >= r.config.Attempts.Max {
-		return true
+		return false
 	}
-	return req.group.Idempotency == IdempotentWithKey && req.mayHaveExecuted &&
-		now-req.firstExecutedAt >= r.usableWindow(req.group)
+	return req.group.Idempotency != IdempotentWithKey || now < req.earliestExecution(now)+r.usableWindow(req.group)
 }
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -417,6 +417,7 @@
 
 // CancelAttempt implements Actions.
 func (w *world) CancelAttempt(id string, n int) {
+	w.checkCancel(id, n)
 	for i := range w.inFlight {
 		if w.inFlight[i].request == id && w.inFlight[i].n == n {
 			w.inFlight[i].canceled = true
@@ -424,6 +425,24 @@
 	}
 }
 
+// checkCancel checks that a request that is owed an answer can still get one after an attempt is canceled: from another in
+// flight, or from one to come.
+func (w *world) checkCancel(id string, n int) {
+	c := w.requests[id]
+	if c.finished || c.answered {
+		return
+	}
+	for _, a := range w.inFlight {
+		if a.request == id && a.n != n && !a.canceled {
+			return
+		}
+	}
+	windowOver := c.idempotency == IdempotentWithKey && w.now >= c.firstExecuted+modelWindow
+	if c.sent >= w.r.config.Attempts.Max || w.now >= c.deadline-deadlineMargin || windowOver {
+		w.t.Fatalf("canceled: attempt %d of %s, the last that may be answered, %d us before its deadline", n, id, c.deadline-w.now)
+	}
+}
+
 // SetTimer implements Actions.
 func (w *world) SetTimer(delay int64) { w.timers = append(w.timers, w.now+delay) }
 
--- a/internal/routing/outlier_detection.go
+++ b/internal/routing/outlier_detection.go
@@ -134,10 +134,10 @@
 		quiet := float64(now - max(a.startedAt, n.answeredAt, r.stallEndedAt))
 		if i == 0 && !n.suspected && quiet > silence {
 			n.suspected = true
-			r.cancelRepeatable(n)
+			r.cancelRepeatable(n, now)
 		}
 		if !n.suspected && !a.lost && waited > max(leastSilence, lostAfter*usual) {
-			r.giveUpLost(a)
+			r.giveUpLost(a, now)
 		}
 	}
 	if n.suspected || n.lag > maxNormalLag && r.config.HealthChecks.ReportsPosition {
@@ -152,29 +152,37 @@
 }
 
 // giveUpLost takes an attempt to be lost.
-func (r *Router) giveUpLost(a *attempt) {
+func (r *Router) giveUpLost(a *attempt, now int64) {
 	a.lost = true
 	a.node.inFlight--
 	a.node.recordError()
 	if a.request.group.Idempotency != NotIdempotent {
-		r.cancelAttempt(a)
+		r.cancelForRetry(a, now)
 	}
 }
 
 // cancelRepeatable cancels what may be sent again from a node: idempotent requests where it is suspected, and requests with
 // a key once it is not the primary any more. Those are left at a suspected primary until another one is known, because only
 // a primary could take them.
-func (r *Router) cancelRepeatable(n *node) {
+func (r *Router) cancelRepeatable(n *node, now int64) {
 	for _, a := range n.attempts {
 		switch a.request.group.Idempotency {
 		case Idempotent:
 			if n.suspected {
-				r.cancelAttempt(a)
+				r.cancelForRetry(a, now)
 			}
 		case IdempotentWithKey:
 			if a.request.shard.primary != n {
-				r.cancelAttempt(a)
+				r.cancelForRetry(a, now)
 			}
 		}
 	}
 }
+
+// cancelForRetry cancels an attempt so that its request can be sent again. It leaves the last one that can be answered:
+// without another in flight or to come, its end would give up a request whose answer may be on the way.
+func (r *Router) cancelForRetry(a *attempt, now int64) {
+	if a.request.awaitsOther(a) || r.mayRetry(a.request, now) {
+		r.cancelAttempt(a)
+	}
+}
--- a/internal/routing/primary.go
+++ b/internal/routing/primary.go
@@ -69,7 +69,7 @@
 	n.lag = 0
 	if former != nil {
 		former.role = Replica
-		r.cancelRepeatable(former)
+		r.cancelRepeatable(former, now)
 	}
 }
 
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -82,6 +82,16 @@
 	return false
 }
 
+// awaitsOther reports whether another attempt of the request is in flight and not canceled.
+func (req *request) awaitsOther(than *attempt) bool {
+	for _, a := range req.attempts {
+		if a != than && !a.ended && !a.canceled {
+			return true
+		}
+	}
+	return false
+}
+
 // runStages takes a request through the stages until one doesn't let it proceed.
 func (r *Router) runStages(req *request, now int64) {
 	for _, s := range r.stages {
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -89,11 +89,17 @@
 	if req.group.Idempotency != IdempotentWithKey || !req.mayHaveExecuted && req.inFlight == 0 {
 		return 0
 	}
+	return max(1, req.earliestExecution(now)+r.usableWindow(req.group)-now)
+}
+
+// earliestExecution is the earliest time at which a request may have been executed: the start of an attempt that ended
+// without proof of the opposite, or is in flight. It is now where there is none.
+func (req *request) earliestExecution(now int64) int64 {
 	first := cmp.Or(req.firstExecutedAt, now)
 	for _, a := range req.attempts {
 		if !a.ended {
 			first = min(first, a.startedAt)
 		}
 	}
-	return max(1, first+r.usableWindow(req.group)-now)
+	return first
 }
