Call a key file without a key a fault, in place of a panic at the start or a SIGHUP

Callers saw: all that a router owed was dropped when SIGHUP came while the key file was empty, as in a secret's rotation.

Cause: readKeys reported no fault for a key file that can be read and holds no key; membership.Start and ReplaceKeys take the first key unseen. No key is a fault now, for check, start and reload alike, and both functions return ErrNoKey.

--- a/internal/membership/keyring.go
+++ b/internal/membership/keyring.go
@@ -2,12 +2,19 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 )
 
-// ReplaceKeys takes other encryption keys, one at least: the first is sent with, all of them are understood, and keys that
-// are not among them no longer are.
+// ErrNoKey means that there is no encryption key to send with.
+var ErrNoKey = errors.New("no encryption key")
+
+// ReplaceKeys takes other encryption keys: the first is sent with, all of them are understood, and keys that are not among
+// them no longer are. Without a key the error is ErrNoKey and the keys in force stay.
 func (s *Service) ReplaceKeys(keys [][]byte) error {
+	if len(keys) == 0 {
+		return ErrNoKey
+	}
 	for _, key := range keys {
 		if err := s.keyring.AddKey(key); err != nil {
 			return err
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -110,9 +110,12 @@
 	heldAt int64 // when this instance got it, us
 }
 
-// Start joins the other instances, or waits for them if none answers yet. settings.Keys holds one key at least; wrap may
-// be nil.
+// Start joins the other instances, or waits for them if none answers yet. Without a key the error is ErrNoKey; wrap may be
+// nil.
 func Start(settings Settings, events Events, wrap WrapTransport) (*Service, error) {
+	if len(settings.Keys) == 0 {
+		return nil, ErrNoKey
+	}
 	keyring, err := memberlist.NewKeyring(settings.Keys, settings.Keys[0])
 	if err != nil {
 		return nil, err
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -20,7 +20,7 @@
 	Listen     string   // host:port for TCP and UDP
 	Advertise  string   // host:port at which the others reach this instance; empty if it is Listen
 	Seeds      []string // host:port of members to look for while there is no other
-	Keys       [][]byte // encryption keys; the first is the one to send with. Start needs one at least.
+	Keys       [][]byte // encryption keys, one at least; the first is the one to send with
 	MaxMembers int
 	Weight     float64 // this instance's share of the tasks, relative to the other members' weights
 	Bandwidth  int     // bytes a second that gossip may take on the way out
@@ -69,8 +69,8 @@
 	}
 }
 
-// readKeys decodes the keys of the file itself and then those of its key file, "" for none. A key file that can be read
-// and holds no key adds none and is no fault, so the result may be empty without a fault.
+// readKeys decodes the keys of the file itself and then those of its key file, "" for none. No key at all is a fault, also
+// where the key file is empty for a moment, as while a secret is replaced.
 func readKeys(p *sexp.Part, encoded []string, keyFile string) [][]byte {
 	if keyFile != "" {
 		raw, err := os.ReadFile(keyFile)
@@ -88,7 +88,7 @@
 		}
 		keys = append(keys, key)
 	}
-	if len(encoded) == 0 && keyFile == "" {
+	if len(encoded) == 0 {
 		p.AddFault("keys", "no key", "at least one, in keys or key-file: 16, 24 or 32 random bytes in base64")
 	}
 	return keys
