Refuse a rollout record with an unknown phase, state or wave, and name what has no name

Callers saw: a router that was asked for its rollouts' status ended by a panic, and dropped all that it owed, once its voter held a record of another member with a phase or state beyond the last.

Cause: nothing bounded a record's state, phase and wave as it was read, and Phase, State and Kind.String indexed their tables unseen. decode bounds them now, String names any number, and a share that is no number is out of a budget's bounds.

--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // Kind is what a plan does to its units. The numbers are sent to other instances.
 type Kind uint8
@@ -17,8 +20,13 @@
 // Valid reports whether there is such a kind.
 func (k Kind) Valid() bool { return k >= KindRestart && k <= KindNodes }
 
-// String returns the kind as a plan's file says it. It panics for a kind that is not Valid and not 0.
-func (k Kind) String() string { return kindNames[k] }
+// String returns the kind as a plan's file says it; the zero Kind has no name.
+func (k Kind) String() string {
+	if k <= KindNodes {
+		return kindNames[k]
+	}
+	return fmt.Sprintf("kind %d", uint8(k))
+}
 
 // Budget is how much may be unavailable at once, by plans or for any other reason.
 type Budget struct {
@@ -119,7 +127,8 @@
 }
 
 func (b *Budget) outOfBounds() bool {
-	return b.MaxUnavailable < 0 || b.MaxShare < 0 || b.MaxShare > 1 || b.MaxPerZone < 0 || b.MaxPerGroup < 0 || b.MaxGroupWork < 0
+	inRange := b.MaxShare >= 0 && b.MaxShare <= 1 && b.MaxGroupWork >= 0 // false for NaN
+	return !inRange || b.MaxUnavailable < 0 || b.MaxPerZone < 0 || b.MaxPerGroup < 0
 }
 
 // waveOf returns the number of the wave in which a unit goes; the first is 0.
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // Slot is the right to be unavailable, granted under a term of the leader's lease. Less orders slots by when they were
 // granted.
@@ -30,9 +33,16 @@
 
 var phaseNames = [...]string{"waits", "going", "away", "returning", "done", "stuck", "forgotten"}
 
-// String returns the phase as operators see it. It panics beyond PhaseForgotten, which a record from another member can
-// hold since nothing checks that as it is read.
-func (p Phase) String() string { return phaseNames[p] }
+// Valid reports whether there is such a phase.
+func (p Phase) Valid() bool { return p <= PhaseForgotten }
+
+// String returns the phase as operators see it.
+func (p Phase) String() string {
+	if p.Valid() {
+		return phaseNames[p]
+	}
+	return fmt.Sprintf("phase %d", uint8(p))
+}
 
 // HoldsSlot reports whether a unit in this phase holds a slot.
 func (p Phase) HoldsSlot() bool { return p >= PhaseLeaving && p <= PhaseReturning || p == PhaseStuck }
@@ -51,9 +61,16 @@
 
 var stateNames = [...]string{"", "running", "halted", "going back", "finished", "back"}
 
-// String returns the state as operators see it. It panics beyond StateRolledBack, which a record from another member can
-// hold since nothing checks that as it is read.
-func (s State) String() string { return stateNames[s] }
+// Valid reports whether there is such a state.
+func (s State) Valid() bool { return s >= StateRunning && s <= StateRolledBack }
+
+// String returns the state as operators see it; the zero State has no name.
+func (s State) String() string {
+	if s <= StateRolledBack {
+		return stateNames[s]
+	}
+	return fmt.Sprintf("state %d", uint8(s))
+}
 
 // Ended reports whether the plan is over: it does nothing more by itself. A finished one can still be rolled back.
 func (s State) Ended() bool { return s == StateFinished || s == StateRolledBack }
--- a/internal/rolloutservice/codec.go
+++ b/internal/rolloutservice/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"github.com/klauspost/compress/s2"
 
@@ -90,8 +91,7 @@
 	return w.message()
 }
 
-// check returns ErrMalformed for a record that no member sends, whatever the message's kind is. It does not bound a
-// plan's state and wave, nor its units' phases.
+// check returns ErrMalformed for a record that no member sends, whatever the message's kind is.
 func (w *wireMessage) check() error {
 	if err := w.Record.check(); err != nil {
 		return err
@@ -111,7 +111,10 @@
 			return ErrMalformed
 		}
 		plan := p.Plan.plan()
-		if plan.Validate() != nil {
+		if plan.Validate() != nil || !rollout.State(p.State).Valid() || p.Wave < 0 || p.Wave > len(p.Plan.Waves) {
+			return ErrMalformed
+		}
+		if slices.ContainsFunc(p.Units, func(unit wireUnit) bool { return !rollout.Phase(unit.Phase).Valid() }) {
 			return ErrMalformed
 		}
 	}
