Bound the ages of updates from other members before they are added

Cause: fromWire added an update's age and the time that its message was held without an upper bound; the sum overflowed and the update was kept as one from the future, as the newest of its node, for members that join.

Evidence: FuzzMessages with such a message as a seed fails on the code before ("Age:-2", seed#2) and passes now. Its check is stricter: ages and held times stay under half of the greatest number, so that no sum of two overflows.

--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -19,6 +19,10 @@
 	maxName          = 128     // bytes of a member's name or of a task's key
 	maxLoadReport    = 256     // bytes of a node's load report
 
+	// maxAge bounds what counts of an age that another member tells, and of the time that its message was held, us: a day.
+	// Nothing that decides by an age asks for more than minutes, and sums of bounded ages can't overflow.
+	maxAge = 86_400_000_000
+
 	// MaxDatagram is how many bytes the body of a direct message may have that goes by datagram: with what is put around
 	// it, it fits one.
 	MaxDatagram = 1_200
@@ -116,8 +120,7 @@
 	}
 }
 
-// fromWire checks an update and makes an assignment.Update of it; held (us) is added to its age. Neither has an upper
-// bound, so the sum may overflow.
+// fromWire checks an update and makes an assignment.Update of it; held (us) is added to its age. Each counts up to maxAge.
 func fromWire(w wireUpdate, origin string, held int64) (assignment.Update, error) {
 	switch {
 	case w.Key == "", len(w.Key) > maxName, len(w.Owner) > maxName, len(w.LoadReport) > maxLoadReport:
@@ -133,7 +136,7 @@
 		Key:          w.Key,
 		Owner:        owner,
 		Term:         w.Term,
-		Age:          w.Age + held,
+		Age:          min(w.Age, maxAge) + min(held, maxAge),
 		NodeStarted:  w.NodeStarted,
 		Unresponsive: w.Unresponsive,
 		Position:     w.Position,
@@ -237,6 +240,7 @@
 	if m.Origin == "" || len(m.Origin) > maxName || m.Held < 0 {
 		return m, ErrOutOfBounds
 	}
+	m.Held = min(m.Held, maxAge) // it grows further while it is passed on
 	return m, nil
 }
 
--- a/internal/membership/messages_test.go
+++ b/internal/membership/messages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -40,13 +41,14 @@
 func FuzzMessages(f *testing.F) {
 	f.Add(encode(updateMessage{Version: version, Origin: "a", Incarnation: 1, Number: 1, Updates: packUpdates("a", []assignment.Update{{Key: "k"}})[0]}))
 	f.Add(encode(joinState{Version: version, Members: []memberRecord{{Name: "a"}}, Updates: []wireUpdate{{Key: "k", Age: -1}}}))
+	f.Add(encode(updateMessage{Version: version, Origin: "a", Held: math.MaxInt64, Updates: packUpdates("a", []assignment.Update{{Key: "k", Age: math.MaxInt64}})[0]}))
 	f.Add(encode(metadata{Version: version, Cluster: "kandy", Weight: 1}))
 	f.Add([]byte{0x9f, 0xff})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if message, err := decodeUpdateMessage(raw); err == nil {
 			updates, err := unpackUpdates(&message)
 			for _, update := range updates {
-				if err != nil || update.Age < 0 || update.Position < 0 || update.Key == "" || update.Owner == "" {
+				if err != nil || update.Age < 0 || update.Age > math.MaxInt64/2 || message.Held > math.MaxInt64/2 || update.Position < 0 || update.Key == "" || update.Owner == "" {
 					t.Fatalf("%+v, %v", update, err)
 				}
 			}
