Free a lease only under the term that the operator's list showed

Callers saw: a lease lost without cause when a request to free it came late, after it had passed on or come back.

Cause: the request named no term, and requestYield asked whoever held the lease when it arrived, on the operator's own router too. It names the term now, in the message's list of leases, which an earlier version passes over; a holder under another term goes on, counts it and logs it.

Evidence: TestLateFree fails with the former rule (any term) in place of the new one: "a free of the term before, by a: the lease held under term is to be given up". The list's and the free request's forms stay; golden bytes pass unchanged.

--- a/internal/leaseservice/candidate_loop.go
+++ b/internal/leaseservice/candidate_loop.go
@@ -76,13 +76,21 @@
 	}
 }
 
-// requestYield asks the holder of a lease on this instance to give it up; it never blocks.
-func (s *Service) requestYield(lease, reason string) {
+// requestYield asks the holder of a lease on this instance to give it up, if it holds it under a term that is meant; it
+// never blocks.
+func (s *Service) requestYield(lease string, meant termFilter, reason string) {
 	ask := func(int64) {
 		term, _ := s.candidate.HeldTerm(lease)
-		if guard := s.guards[lease]; guard != nil && term > 0 {
-			guard.yield(term, "", reason)
+		guard := s.guards[lease]
+		if guard == nil || term == 0 {
+			return
+		}
+		if !meant(guard, term) {
+			yieldsRefused.Add()
+			slog.Warn("lease not given up: the request is for an earlier holder, or names no term", "lease", lease, "term", term, "why", reason)
+			return
 		}
+		guard.yield(term, "", reason)
 	}
 	select {
 	case s.candidateCalls <- ask:
--- a/internal/leaseservice/counters.go
+++ b/internal/leaseservice/counters.go
@@ -7,6 +7,7 @@
 	leasesAcquired      = metrics.New("leases held")
 	leasesLost          = metrics.New("leases lost")
 	yieldsRequested     = metrics.New("leases wanted by others")
+	yieldsRefused       = metrics.New("requests to free a lease refused")
 	messagesSent        = metrics.New("lease messages sent")
 	messagesReceived    = metrics.New("lease messages received")
 	messagesUnreadable  = metrics.New("lease messages unreadable")
--- a/internal/leaseservice/guard.go
+++ b/internal/leaseservice/guard.go
@@ -61,10 +61,11 @@
 	allEnded chan struct{} // closed when the last running act has ended; nil if nobody waits for it
 }
 
-// tenure is until when a lease is held under a term.
+// tenure is until when a lease is held under a term, and since when.
 type tenure struct {
 	term  uint64
 	until int64
+	since int64
 }
 
 func newGuard(s *Service, lease string, onEvent func(Event)) *Guard {
@@ -198,7 +199,11 @@
 
 // extend notes that the lease is held until a time. It runs on the candidate's goroutine, as lose and yield do.
 func (g *Guard) extend(change Change, term uint64, until int64) {
-	g.held.Store(&tenure{term, until})
+	since := g.service.clock()
+	if before := g.held.Load(); before != nil && before.term == term {
+		since = before.since
+	}
+	g.held.Store(&tenure{term, until, since})
 	g.tell(Event{Change: change, Term: term, Until: until})
 }
 
--- a/internal/leaseservice/operator_api.go
+++ b/internal/leaseservice/operator_api.go
@@ -181,7 +181,7 @@
 	return x.Reply(o)
 }
 
-// freeLease asks a lease's holder to give it up.
+// freeLease asks a lease's holder to give it up (free.go).
 func (s *Service) freeLease(ctx context.Context, x *adminsocket.Session) error {
 	leases := s.overview(ctx).Leases
 	found := slices.IndexFunc(leases, func(status LeaseStatus) bool { return status.Lease == x.Name })
@@ -192,10 +192,8 @@
 	if status.Holder == "" {
 		return &NoHolderError{Lease: x.Name}
 	}
-	if status.Holder == s.self {
-		s.requestYield(x.Name, "an operator frees it")
-	} else if err := s.sendFree(status.Holder, x.Name); err != nil {
-		return fmt.Errorf("%s, which holds it, can't be reached; what it holds runs out within %d ms: %w", status.Holder, status.RemainingMS, err)
+	if err := s.free(status); err != nil {
+		return err
 	}
 	return x.Reply(status)
 }
--- a/internal/leaseservice/service.go
+++ b/internal/leaseservice/service.go
@@ -299,7 +299,7 @@
 		if guard.onEvent == nil {
 			guard.Withdraw()
 		} else {
-			s.requestYield(guard.lease, "this instance leaves") // what runs under it is not ours to end
+			s.requestYield(guard.lease, anyTerm, "this instance leaves") // what runs under it is not ours to end
 		}
 	}
 	for end := time.Now().Add(shutdownWait); time.Now().Before(end); time.Sleep(tickInterval / 4) {
--- a/internal/leaseservice/voter_query.go
+++ b/internal/leaseservice/voter_query.go
@@ -34,7 +34,7 @@
 	Version     int
 	Number      uint64 // of the query
 	IsPage      bool
-	FreeLease   string // lease that the receiver is to give up, "" for a query or a page
+	FreeLease   string // lease that the receiver is to give up, "" for a query or a page; Leases then has the term that is meant
 	After       string // the page begins behind this lease
 	More        bool   // pages follow
 	SetNumber   uint64
@@ -228,7 +228,7 @@
 		return
 	}
 	if m.FreeLease != "" {
-		s.requestYield(m.FreeLease, "an operator at "+from+" frees it")
+		s.handleFreeRequest(from, m)
 		return
 	}
 	select {
@@ -275,8 +275,3 @@
 	}
 	s.sendQuery(to, page)
 }
-
-// sendFree asks another member to give up a lease that it holds.
-func (s *Service) sendFree(holder, lease string) error {
-	return s.send(holder, membership.KindLeaseQuery, codec.Encode(queryMessage{Version: queryVersion, FreeLease: lease}))
-}
