End what a killed supervisor leaves behind before its lease is given up

Callers saw: two holders. The supervisor of lease hold is killed, the lease passes on at once, and children of the command in groups of their own still do the work.

Cause: the system ends the command with the supervisor, not the command's children, and the asker took the supervisor's end for theirs. The asker is a subreaper now too: it adopts and kills what is left, and gives the lease up only when none is; else the lease runs out. Children that it had before (exec in a shell script) are spared.

--- a/internal/supervisor/children.go
+++ b/internal/supervisor/children.go
@@ -1,11 +1,15 @@
 package supervisor
 
 import (
+	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -15,21 +19,36 @@
 	maxChildChecks = 500
 )
 
-// killGroup kills the command's process group and all other children of this process, again and again until none is left
-// or maxChildChecks looks are over. group is the process ID of the command too, which leads its group.
+// adoptOrphans makes this process the parent of what its descendants leave behind, so that it can end that too.
+func adoptOrphans() {
+	if err := unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0); err != nil {
+		fmt.Fprintln(os.Stderr, "lease supervisor: children that part from the command are not ended with it:", err)
+	}
+}
+
+// killGroup kills the command's process group and all other children of this process. group is the process ID of the
+// command too, which leads its group.
 func killGroup(group int) {
 	syscall.Kill(-group, syscall.SIGKILL)
+	killChildren(group)
+}
+
+// killChildren kills all children of this process but those that are spared, again and again until none is left or
+// maxChildChecks looks are over. It reports whether none is left. It reaps them, except one for which exec.Cmd.Wait waits, 0
+// for none.
+func killChildren(waitedFor int, spared ...int) bool {
 	for range maxChildChecks {
-		all := children()
+		all := slices.DeleteFunc(children(), func(pid int) bool { return slices.Contains(spared, pid) })
 		for _, pid := range all {
 			syscall.Kill(pid, syscall.SIGKILL)
 		}
-		reapAllExcept(group)
+		reapAllExcept(waitedFor)
 		if len(all) == 0 {
-			return
+			return true
 		}
 		time.Sleep(childCheckInterval)
 	}
+	return false
 }
 
 // reapAllExcept reaps exited children except the command, for which exec.Cmd.Wait waits.
--- a/internal/supervisor/doc.go
+++ b/internal/supervisor/doc.go
@@ -5,7 +5,7 @@
 // RunWithLease) passes that on. The supervisor (Supervise) is a process between the asker and the command: it is told the
 // end of the command's time over its standard input, and ends the command and all that came of it before that time is
 // over. A timer within the asker would stop with the asker; this one ends the command even if both others are stopped or
-// dead, and it kills a command that was stopped.
+// dead, and it kills a command that was stopped. If the supervisor itself is killed, the asker ends what it leaves behind.
 //
 // The command's states, as the supervisor sees them:
 //
--- a/internal/supervisor/lease.go
+++ b/internal/supervisor/lease.go
@@ -16,6 +16,9 @@
 // defaultLeaseLength is the length of the lease that a command holds, if Options names none.
 const defaultLeaseLength = 10 * time.Second
 
+// supervisorKilled is the exit code of a supervisor that was ended by a signal, as os/exec has it.
+const supervisorKilled = -1
+
 // ErrRequestEnded means that the router ended the request before the lease was held.
 var ErrRequestEnded = errors.New("the router ended the request")
 
@@ -50,13 +53,15 @@
 // RunWithLease waits for a lease, runs a command while it is held, and returns the command's exit code or one of the Exit
 // codes: ExitNotAcquired if options.Wait is over or SIGINT, SIGTERM or SIGHUP comes while the lease is waited for; -1 if
 // the supervisor itself was killed by a signal. If err is not nil the code has no meaning. supervise is the program and
-// arguments that start the supervisor's process, which calls Supervise.
+// arguments that start the supervisor's process, which calls Supervise. What a killed
+// supervisor leaves behind becomes this process's and is killed, so it must start no other children meanwhile.
 func RunWithLease(socket, lease string, options Options, supervise, command []string) (code int, err error) {
 	request, err := requestLease(socket, lease, options)
 	if err != nil {
 		return ExitNotStarted, err
 	}
 	defer request.close()
+	adoptOrphans()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	held, err := request.await(options.Wait, signals)
@@ -66,11 +71,12 @@
 	if held == nil {
 		return ExitNotAcquired, nil
 	}
+	others := children() // of a shell script, say, that became this process
 	child, err := startSupervisor(lease, *held, GracePeriod(options.length()), supervise, command)
 	if err != nil {
 		return ExitNotStarted, err
 	}
-	return request.follow(child, held.Term, signals), nil
+	return request.follow(child, held.Term, others, signals), nil
 }
 
 // leaseRequest is a request for a lease that a router carries out.
@@ -144,8 +150,9 @@
 }
 
 // follow passes the lease's changes on to the supervisor until the command has ended, and returns its exit code. If the
-// router ends the call, the command goes on until the end of its time that the router sent last.
-func (r *leaseRequest) follow(child *supervisorProcess, term uint64, signals <-chan os.Signal) (code int) {
+// router ends the call, the command goes on until the end of its time that the router sent last. If the supervisor is
+// killed, what it leaves behind is, but for the other children of this process; while any of that is left the lease isn't given up.
+func (r *leaseRequest) follow(child *supervisorProcess, term uint64, others []int, signals <-chan os.Signal) (code int) {
 	ended := r.ended
 	for {
 		select {
@@ -156,7 +163,10 @@
 		case <-signals:
 			child.tell(endMessage)
 		case code := <-child.exitCode:
-			if ended != nil {
+			over := code != supervisorKilled || killChildren(0, others...)
+			if !over {
+				fmt.Fprintf(os.Stderr, "lease %s runs out: what the killed supervisor left behind can't be ended\n", r.lease)
+			} else if ended != nil {
 				r.giveUp()
 			}
 			return code
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -13,8 +13,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // The exit codes beside the command's own.
@@ -53,10 +51,7 @@
 		return ExitNotStarted
 	}
 	runtime.LockOSThread() // the system ends the command with the thread that started it
-	// What the command starts and leaves behind comes to this process, so that it can be ended too.
-	if err := unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0); err != nil {
-		fmt.Fprintln(os.Stderr, "lease supervisor: children that part from the command are not ended with it:", err)
-	}
+	adoptOrphans()
 	signal.Ignore(syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTSTP) // they are for the asker, who says "end"
 	lines := readLines(in)
 	until, ok := parseUntil(<-lines)
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -14,7 +14,7 @@
 	"cairntiller/internal/leaseservice"
 )
 
-// TestMain lets the test's program be the supervisor's process.
+// TestMain lets the test's program be the supervisor's process, and the asker's.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 4 && os.Args[1] == "keep" {
 		room, err := time.ParseDuration(os.Args[3])
@@ -23,6 +23,13 @@
 		}
 		os.Exit(Supervise(os.Args[4:], os.Stdin, leaseservice.Clock, room))
 	}
+	if len(os.Args) > 3 && os.Args[1] == "hold" {
+		code, err := RunWithLease(os.Args[2], "task", Options{}, []string{os.Args[0], "keep"}, os.Args[3:])
+		if err != nil {
+			os.Exit(2)
+		}
+		os.Exit(code & 0xff)
+	}
 	os.Exit(m.Run())
 }
 
