Start a command under a lease that is shorter than the default length

Cause: asker and router each assumed 10 s, and only the router bounded that by the longest lease; the asker's grace period of 2 s was over before it began. The router tells the length now (length_us, a further field), and the asker measures by it; for an earlier router it takes what was asked for, at most the time for which the lease is held when acquired.

Evidence: two new cases of TestRunWithLease fail on the code before with exit code 124 in place of 7.

--- a/internal/leaseservice/operator_api.go
+++ b/internal/leaseservice/operator_api.go
@@ -23,7 +23,7 @@
 	// that wait.
 	maxPendingEvents = 64
 	// defaultLeaseLength is the length of the lease that an operator's command holds if it names none, in us. A shorter
-	// longest lease bounds it, see docs/leases.md on what the command assumes then.
+	// longest lease bounds it; HoldUpdate tells the command which it is.
 	defaultLeaseLength = 10_000_000
 )
 
@@ -84,6 +84,7 @@
 	Lease  string `json:"lease"`
 	Term   uint64 `json:"term,omitempty"`
 	Until  int64  `json:"until_us,omitempty"`
+	Length int64  `json:"length_us,omitempty"` // of the lease, in us; 0 from a router of an earlier version
 	Next   string `json:"next,omitempty"`
 	Reason string `json:"why,omitempty"`
 }
@@ -258,7 +259,7 @@
 			if e.Change == YieldRequested {
 				next = e.Next
 			}
-			update := HoldUpdate{Change: e.Change.String(), Lease: x.Name, Term: e.Term, Until: e.Until, Next: e.Next, Reason: e.Reason}
+			update := HoldUpdate{Change: e.Change.String(), Lease: x.Name, Term: e.Term, Until: e.Until, Length: wanted.Length, Next: e.Next, Reason: e.Reason}
 			if x.Reply(update) != nil {
 				guard.Abandon()
 				return nil
--- a/internal/supervisor/lease.go
+++ b/internal/supervisor/lease.go
@@ -13,9 +13,6 @@
 	"cairntiller/internal/leaseservice"
 )
 
-// defaultLeaseLength is the length of the lease that a command holds, if Options names none.
-const defaultLeaseLength = 10 * time.Second
-
 // supervisorKilled is the exit code of a supervisor that was ended by a signal, as os/exec has it.
 const supervisorKilled = -1
 
@@ -30,14 +27,6 @@
 	Priority   int
 }
 
-// length returns the lease's length, by default defaultLeaseLength.
-func (o Options) length() time.Duration {
-	if o.Length > 0 {
-		return o.Length
-	}
-	return defaultLeaseLength
-}
-
 // arguments returns the options as the router reads them.
 func (o Options) arguments() map[string]string {
 	args := map[string]string{"priority": strconv.Itoa(o.Priority)}
@@ -72,13 +61,26 @@
 		return ExitNotAcquired, nil
 	}
 	others := children() // of a shell script, say, that became this process
-	child, err := startSupervisor(lease, *held, GracePeriod(options.length()), supervise, command)
+	child, err := startSupervisor(lease, *held, GracePeriod(lengthOf(held, options)), supervise, command)
 	if err != nil {
 		return ExitNotStarted, err
 	}
 	return request.follow(child, held.Term, others, signals), nil
 }
 
+// lengthOf returns the length of a lease that was just acquired, by which the command's grace period is measured. A router of
+// an earlier version doesn't tell it: then it is what was asked for, and for how long the lease is held at the most.
+func lengthOf(held *leaseservice.HoldUpdate, options Options) time.Duration {
+	if held.Length > 0 {
+		return time.Duration(held.Length) * time.Microsecond
+	}
+	left := time.Duration(held.Until-leaseservice.Clock()) * time.Microsecond
+	if options.Length > 0 {
+		return min(options.Length, left)
+	}
+	return left
+}
+
 // leaseRequest is a request for a lease that a router carries out.
 type leaseRequest struct {
 	lease   string
--- a/internal/supervisor/lease_test.go
+++ b/internal/supervisor/lease_test.go
@@ -76,6 +76,26 @@
 			command: []string{"sh", "-c", "exit 5"},
 			code:    5,
 		},
+		// The router bounds the default length by its longest lease. Seen: the command gets the grace period of the default
+		// length, which is over before it begins, and isn't started.
+		"a lease that is shorter than the default": {
+			holds: func(_ context.Context, s *adminsocket.Session) error {
+				short := update(leaseservice.Acquired, 1900*time.Millisecond)
+				short.Length = 2_000_000
+				s.Reply(short)
+				return awaitEnd(s)
+			},
+			command: []string{"sh", "-c", "exit 7"},
+			code:    7,
+		},
+		"a short lease of a router that doesn't tell its length": {
+			holds: func(_ context.Context, s *adminsocket.Session) error {
+				s.Reply(update(leaseservice.Acquired, 1900*time.Millisecond))
+				return awaitEnd(s)
+			},
+			command: []string{"sh", "-c", "exit 7"},
+			code:    7,
+		},
 		"extended past its first end": {
 			options: Options{Length: 5 * time.Second},
 			holds: func(_ context.Context, s *adminsocket.Session) error {
