--- a/internal/assignment/stall_test.go
+++ b/internal/assignment/stall_test.go
@@ -61,3 +61,25 @@
 		}
 	}
 }
+
+// TestShortestIntervalIsCalm: nothing fails, and the interval is the shortest that an operator may set. Owners keep their tasks.
+// Seen: instances claim tasks from each other without an end, also where updates go out as often as shared probes send them.
+func TestShortestIntervalIsCalm(t *testing.T) {
+	const instances, nodes, interval = 3, 8, 100_000
+	for seed := range uint64(10) {
+		c := assignmentsim.New(seed, instances, nodes, interval, 20, 50)
+		c.MaxDelay = 100_000
+		c.Run(20 * second)
+		claims := int64(0)
+		for i := range instances {
+			claims -= c.Table(i).Stats(c.InstanceTime(i)).Claims
+		}
+		c.Run(30 * second)
+		for i := range instances {
+			claims += c.Table(i).Stats(c.InstanceTime(i)).Claims
+		}
+		if claims > 0 {
+			t.Errorf("seed %d: %d claims in 30 s, when all is well", seed, claims)
+		}
+	}
+}
