Send a gossip message that is larger than a round alone, in place of never

Callers saw: at the least bandwidth nothing learned of nodes got out of a router that had a full message to pass on.

Cause: a round stops at the first message that doesn't fit, and one larger than the whole budget stayed first. It goes alone now, once the rounds left empty for it make up its size.

Evidence: TestLargeMessageGoesAlone fails before (none of six messages in 100 rounds).

--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -22,6 +22,7 @@
 type broadcastQueue struct {
 	messages []*queuedMessage
 	dropped  int // messages dropped unsent because the queue was full
+	saved    int // bytes of rounds that were left empty for a first message larger than a round's budget
 }
 
 // queuedMessage is one message on its way.
@@ -60,9 +61,9 @@
 }
 
 // nextRound returns what one round carries, up to a budget of bytes: what was sent least often first, among equals the
-// oldest. It stops at the first message that does not fit what is left of the budget, so a message larger than the whole
-// budget holds up those behind it. Messages that have had all their rounds are dropped, and all of them if there is no
-// other member.
+// oldest. It stops at the first message that does not fit what is left of the budget. One that is larger than the whole
+// budget goes alone, once the rounds left empty for it make up its size. Messages that have had all their rounds are dropped,
+// and all of them if there is no other member.
 func (q *broadcastQueue) nextRound(members, budget int) []*queuedMessage {
 	if members < 2 {
 		q.messages = nil
@@ -70,6 +71,9 @@
 	}
 	slices.SortStableFunc(q.messages, func(a, b *queuedMessage) int { return cmp.Compare(a.rounds, b.rounds) })
 	var chosen []*queuedMessage
+	if len(q.messages) > 0 && q.messages[0].size > budget {
+		budget = q.saveFor(q.messages[0].size, budget)
+	}
 	for _, one := range q.messages {
 		if one.size > budget {
 			break
@@ -83,6 +87,17 @@
 	return chosen
 }
 
+// saveFor saves a round's budget for a message that is larger, and returns what this round may carry: nothing yet, or the
+// message.
+func (q *broadcastQueue) saveFor(size, budget int) int {
+	q.saved += budget
+	if q.saved < size {
+		return 0
+	}
+	q.saved = 0
+	return size
+}
+
 // roundTargets picks the members that a round goes to, as indexes below others: all if they are few. pick returns a random
 // number below its argument.
 func roundTargets(others int, pick func(n int) int) []int {
--- a/internal/membership/broadcast_test.go
+++ b/internal/membership/broadcast_test.go
@@ -57,3 +57,28 @@
 		t.Error("messages for nobody are kept")
 	}
 }
+
+// TestLargeMessageGoesAlone: at the least bandwidth a round's budget is smaller than a full message. Seen: it is never sent and
+// holds up all behind it, so nothing that is learned of nodes gets out.
+func TestLargeMessageGoesAlone(t *testing.T) {
+	const members, budget, large, small, rounds = 4, 546, 1_100, 200, 100
+	queue := &broadcastQueue{}
+	for number := range uint64(6) {
+		queue.add(&queuedMessage{message: updateMessage{Number: number}, size: []int{large, small}[number%2]})
+	}
+	sent, bytes := map[uint64]int{}, 0
+	for range rounds {
+		for _, one := range queue.nextRound(members, budget) {
+			sent[one.message.Number]++
+			bytes += one.size
+		}
+	}
+	for number := range uint64(6) {
+		if sent[number] != roundsPerMessage(members) {
+			t.Errorf("message %d was sent in %d of %d rounds", number, sent[number], roundsPerMessage(members))
+		}
+	}
+	if bytes > rounds*budget {
+		t.Errorf("%d bytes in %d rounds of %d", bytes, rounds, budget)
+	}
+}
