Count the ten minutes of the greatest number of members from when it last held

Callers saw: after ten quiet minutes the parts of a parted fleet together checked nodes more often than box-load allows.

Cause: the greatest number counted from the report at which it was reached, so the first loss after a quiet time forgot it. Live members are noted before a loss too.

Evidence: TestPeakMembersHoldUntilTheLoss fails before (3 s in place of 4). TestPeakMembersAreRememberedForTenMinutes was wrong by the second between reaching and loss: it had the number forgotten ten minutes after it was reached, though it held a second longer. Its instants move by that second; the same three bounds are checked.

--- a/internal/assignment/members.go
+++ b/internal/assignment/members.go
@@ -2,8 +2,8 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// memberMemory is how long (us) a lost member is remembered, and for how long after it was reached the greatest number of
-// live members counts (interval.go says how that ends). An instance that restarts or a network that is mended comes back
+// memberMemory is how long (us) a lost member is remembered, and for how long after it last held the greatest number of live
+// members counts (interval.go says how that ends). An instance that restarts or a network that is mended comes back
 // well within it.
 const memberMemory = 600_000_000
 
@@ -124,6 +124,7 @@
 	if m == nil || m == t.self || incarnation < m.incarnation || m.state != memberAlive {
 		return
 	}
+	t.noteMembers(now)
 	m.goneAt = now
 	m.state = memberLost
 	if left {
--- a/internal/assignment/table.go
+++ b/internal/assignment/table.go
@@ -63,7 +63,7 @@
 
 	interval    int64 // us between two runs of one task, as extended by updateInterval
 	peakMembers int   // greatest number of live members that counts (interval.go)
-	peakAt      int64 // when it was last reached at a member's coming or going
+	peakAt      int64 // until when it is known to have held
 
 	budget   claimBudget
 	rejoin   rejoinState
