Tell an operator over the admin socket's limit why the request is refused

Callers saw: "connection reset by peer" for lease list, free or fleet commands while 32 lease hold were under way.

Cause: a connection over the limit was closed without an answer. Its request is read now, for 250 ms at the most, and it is told.

Evidence: TestTooManyRequests fails before ("read: connection reset by peer").

--- a/internal/adminsocket/server.go
+++ b/internal/adminsocket/server.go
@@ -17,8 +17,10 @@
 
 const (
 	// maxConnections is how many connections may be open at once: operators, not clients. Each cairntiller lease hold keeps
-	// one from its request to the end of its command. A connection over the limit is closed without an answer.
+	// one from its request to the end of its command. A connection over the limit is refused.
 	maxConnections = 32
+	// refusalTimeout is how long a connection over the limit may take to send its request and accept the refusal.
+	refusalTimeout = 250 * time.Millisecond
 	// requestTimeout is how long a connection may take to send its request.
 	requestTimeout = 2 * time.Second
 	// staleSocketTimeout is how long a socket that a former router left may take to show that nobody listens.
@@ -127,7 +129,7 @@
 			continue
 		}
 		if !s.admit(conn) {
-			conn.Close()
+			s.running.Go(func() { refuse(conn) })
 			continue
 		}
 		s.running.Go(func() {
@@ -151,6 +153,18 @@
 	return true
 }
 
+// refuse ends a connection over the limit with the reason. It reads the request first: an operator whose request can't be
+// sent would not look for the answer.
+func refuse(conn net.Conn) {
+	refusedRequests.Add()
+	conn.SetDeadline(time.Now().Add(refusalTimeout))
+	newLineScanner(conn).Scan()
+	if err := writeLine(conn, Refusal{fmt.Sprintf("this router has %d operators' requests under way, and takes no more", maxConnections)}); err != nil {
+		slog.Debug("an operator's connection was not refused in time", "err", err)
+	}
+	conn.Close()
+}
+
 // serve answers the request of one connection.
 func (s *Server) serve(conn net.Conn) {
 	session := &Session{conn: conn, lines: newLineScanner(conn)}
--- a/internal/adminsocket/server_test.go
+++ b/internal/adminsocket/server_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 func listen(t *testing.T) (*Server, string) {
@@ -107,3 +108,40 @@
 		t.Error("a file was taken for a socket:", err)
 	}
 }
+
+// TestTooManyRequests: as many operators' requests are under way as a router takes, each by a lease that is held. Seen: the next
+// one's connection is closed without a word. It is told why, and is served once another has ended.
+func TestTooManyRequests(t *testing.T) {
+	s, socket := listen(t)
+	begun := make(chan bool, maxConnections)
+	s.Handle("hold", func(_ context.Context, x *Session) error {
+		begun <- true
+		var line string
+		return x.ReadLine(&line)
+	})
+	s.Handle("ask", func(_ context.Context, x *Session) error { return x.Reply("answer") })
+	var held []*Call
+	for range maxConnections {
+		c, err := Dial(socket, Request{Command: "hold"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		held = append(held, c)
+		<-begun
+	}
+	var answer string
+	var refused *RefusedError
+	if err := Ask(socket, Request{Command: "ask"}, &answer); !errors.As(err, &refused) || !strings.Contains(err.Error(), "takes no more") {
+		t.Error("over the limit:", err)
+	}
+	held[0].Close()
+	for end := time.Now().Add(20 * time.Second); Ask(socket, Request{Command: "ask"}, &answer) != nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not served after another has ended")
+		}
+	}
+	if answer != "answer" {
+		t.Errorf("%q", answer)
+	}
+}
