Return a command's exit code although its router hangs

Callers saw: lease hold waited for ever after its command had ended, where the router did not take the message.

Cause: leaseRequest.giveUp had no bound. It waits 3 s now and says that the router doesn't answer; the lease runs out by itself.

Evidence: the new case of TestRunWithLease hangs before (ended by the test's time-out) and returns exit code 8 now.

--- a/internal/supervisor/lease.go
+++ b/internal/supervisor/lease.go
@@ -13,6 +13,10 @@
 	"cairntiller/internal/leaseservice"
 )
 
+// giveUpTimeout is how long the asker waits for the router to take that its command has ended: a router gives a lease up at
+// once, and one that hangs must not hold up the exit code.
+const giveUpTimeout = 3 * time.Second
+
 // supervisorKilled is the exit code of a supervisor that was ended by a signal, as os/exec has it.
 const supervisorKilled = -1
 
@@ -193,16 +197,20 @@
 }
 
 // giveUp tells the router that what ran under the lease has ended, so that the router gives the lease to others at once
-// and not after a length. It waits, without a bound, until the router ends the call.
+// and not after a length. It waits until the router ends the call, for giveUpTimeout at the most.
 func (r *leaseRequest) giveUp() {
 	if r.call.Send(leaseservice.CommandEnded{Ended: true}) != nil {
 		return
 	}
+	timeout := time.After(giveUpTimeout)
 	for {
 		select {
 		case <-r.updates:
 		case <-r.ended:
 			return
+		case <-timeout:
+			fmt.Fprintf(os.Stderr, "lease %s: the router doesn't answer that its command has ended\n", r.lease)
+			return
 		}
 	}
 }
--- a/internal/supervisor/lease_test.go
+++ b/internal/supervisor/lease_test.go
@@ -96,6 +96,16 @@
 			command: []string{"sh", "-c", "exit 7"},
 			code:    7,
 		},
+		// Seen: the exit code of a command never comes, because its router hangs.
+		"the router hangs when the command ends": {
+			holds: func(ctx context.Context, s *adminsocket.Session) error {
+				s.Reply(update(leaseservice.Acquired, time.Minute))
+				<-ctx.Done()
+				return nil
+			},
+			command: []string{"sh", "-c", "exit 8"},
+			code:    8,
+		},
 		"extended past its first end": {
 			options: Options{Length: 5 * time.Second},
 			holds: func(_ context.Context, s *adminsocket.Session) error {
