Keep the next version's file as it is when a write fails

Callers saw: a router whose disk was full stayed in service, but its file named a version that no plan has, for the next start.

Cause: writeNextVersion renamed whatever was written over the file after a failed write. It removes the part now.

Evidence: TestNextVersionStaysAfterAFailedWrite fails before ("123" of 1234567 in place of 7).

--- a/internal/rolloutservice/dispatch.go
+++ b/internal/rolloutservice/dispatch.go
@@ -193,9 +193,11 @@
 }
 
 // writeNextVersion replaces the file by a rename, so that a supervisor that reads it meanwhile sees one version or the
-// other. After a failed write it renames all the same; the error is returned then too.
+// other. A write that fails may leave a part of the number: the file then stays as it is.
 func writeNextVersion(path string, version uint64) error {
 	part := path + ".part"
-	err := os.WriteFile(part, []byte(strconv.FormatUint(version, 10)+"\n"), 0o644)
-	return errors.Join(err, os.Rename(part, path))
+	if err := os.WriteFile(part, []byte(strconv.FormatUint(version, 10)+"\n"), 0o644); err != nil {
+		return errors.Join(err, os.Remove(part))
+	}
+	return os.Rename(part, path)
 }
