Tell a router again to leave that was cut off before it heard so

Callers saw: a plan that waits for a router that serves, until it halts for lack of progress, its slot held meanwhile.

Cause: out of sight a unit that is to leave counts as having left, and nothing took that back when the same process was in sight again. It goes back to the phase in which it is told; it keeps its slot, so the budget is not touched.

Evidence: TestCutOffRouterIsToldAgain fails before (it stays "away").

--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -13,6 +13,7 @@
 	voter   *Voter
 	members int
 	now     int64
+	cutOff  string // member whose reports don't come
 }
 
 // newTestFleet makes a fleet whose leader has begun and granted nothing yet.
@@ -56,7 +57,11 @@
 func (f *testFleet) advance(d int64) {
 	f.now += d
 	for i := range f.members {
-		f.leader.HandleReport(f.now, &Report{Member: fmt.Sprint("r", i), Zone: "z", Incarnation: 1, Ready: true, Counts: CommandCounts{Commands: uint64(f.now / 1000)}})
+		name := fmt.Sprint("r", i)
+		if name == f.cutOff {
+			continue
+		}
+		f.leader.HandleReport(f.now, &Report{Member: name, Zone: "z", Incarnation: 1, Ready: true, Counts: CommandCounts{Commands: uint64(f.now / 1000)}})
 	}
 	f.leader.Tick(f.now)
 	f.carryOut()
--- a/internal/rollout/unit.go
+++ b/internal/rollout/unit.go
@@ -21,10 +21,8 @@
 
 // advanceUnit moves a unit that holds a slot from phase to phase, by what members report.
 //
-// A router in PhaseLeaving that goes out of sight counts as having left, also if it was only cut off and never heard that
-// it is to leave. It is not told again, since only units in PhaseLeaving are. When it is in sight again with the same
-// process it stays in PhaseUnavailable until something else restarts it. Its wave can't end meanwhile, and in the end the
-// plan halts for lack of progress, or, on the way back, the unit becomes stuck.
+// A router in PhaseLeaving that goes out of sight counts as having left. If it was only cut off and never heard that it is
+// to leave, it is in sight again with the same process and doesn't leave: then it is told again.
 //
 // A router that on the way back came with the wrong version is sent again (sendAgain) only if it is ready. So a version
 // that starts and never gets ready is not sent back: the unit becomes stuck for lack of progress.
@@ -48,6 +46,8 @@
 	case PhaseUnavailable:
 		if isBack {
 			l.setPhase(now, p, i, PhaseReturning, "it is back")
+		} else if inSight && !member.report.Leaving {
+			l.setPhase(now, p, i, PhaseLeaving, "it was cut off and has not left")
 		}
 	case PhaseReturning, PhaseStuck:
 		if l.missingProof(now, p, i) == "" {
--- a/internal/rollout/unit_test.go
+++ b/internal/rollout/unit_test.go
@@ -25,3 +25,35 @@
 		})
 	}
 }
+
+// TestCutOffRouterIsToldAgain: a router is cut off before it hears that it is to leave, and is in sight again with the same
+// process. Seen: it counts as having left, is told nothing more, and the plan waits for it until it halts.
+func TestCutOffRouterIsToldAgain(t *testing.T) {
+	f := newTestFleet(t, 6)
+	f.mustAccept(t, Command{Type: CommandStart, Token: "t", Plan: Plan{ID: "p", Kind: KindRestart, Units: []string{"r1", "r2", "r3", "r4", "r5"}}})
+	for range 10 {
+		if f.advance(second); f.plan().Units[0].Phase == PhaseLeaving {
+			break
+		}
+	}
+	if got := f.plan().Units[0].Phase; got != PhaseLeaving {
+		t.Fatalf("the first unit is %s, want it to be leaving", got)
+	}
+	f.cutOff = "r1"
+	for range 6 {
+		f.advance(second)
+	}
+	if got := f.plan().Units[0].Phase; got != PhaseUnavailable {
+		t.Fatalf("out of sight it is %s, want away", got)
+	}
+	f.cutOff = ""
+	for range 3 {
+		f.advance(second)
+	}
+	if got := f.plan().Units[0].Phase; got != PhaseLeaving {
+		t.Errorf("in sight again with the same process it is %s, want it to be told to leave", got)
+	}
+	if got := f.plan().Units[0]; got.Slot == (Slot{}) {
+		t.Error("it holds no slot")
+	}
+}
