--- a/review/2/main.go
+++ b/review/2/main.go
@@ -116,8 +116,10 @@
 func hold(run *play.Run, i int, target, length string) *play.Process {
 	self, err := os.Executable()
 	run.Check(err)
-	return run.Start("hold-"+name(i), fmt.Sprintf("exec bin/cairntiller lease hold --socket %s --length %s %s -- %s act %s %s",
+	p := run.Start("hold-"+name(i), fmt.Sprintf("exec bin/cairntiller lease hold --socket %s --length %s %s -- %s act %s %s",
 		socket(run, i), length, lease, self, target, name(i)))
+	p.EndsItself = true
+	return p
 }
 
 // work is the command under the lease: it acts at intervals until it is ended.
--- a/review/play/run.go
+++ b/review/play/run.go
@@ -102,6 +102,12 @@
 	r.Logf("%s", verdict)
 	fmt.Println(verdict)
 	r.mu.Lock()
+	for _, p := range r.processes {
+		if p.EndsItself && !p.Exited() { // it ends what it has started
+			p.Signal(syscall.SIGTERM)
+			p.Wait(8 * time.Second)
+		}
+	}
 	for _, p := range r.processes {
 		p.end()
 	}
@@ -112,7 +118,9 @@
 
 // Process is a process that the run has started.
 type Process struct {
-	Name   string
+	Name       string
+	EndsItself bool // it is ended by SIGTERM, since it has to end its own processes
+
 	cmd    *exec.Cmd
 	exited chan struct{}
 	log    *os.File
--- a/review/play/settings.go
+++ b/review/play/settings.go
@@ -26,3 +26,26 @@
 			{"name": "north-west-council", "share": 0.26, "quotaPerS": 200}},
 	}
 }
+
+// WellingtonMain returns the settings of a router of wellington-main.
+func WellingtonMain(me int) map[string]any {
+	return object{
+		"az": "wlg-dc1", "azs": []string{"wlg-dc1"}, "family": "replicas", "layer": 0, "me": me, "siblings": 2,
+		"registryMode": "pushed", "round": 5, "overShareWorth": 0.05, "weightSource": "nominal", "worthBy": "request",
+		"classes": []object{
+			{"name": "own-grid-read", "effect": "safe", "group": "all", "window": 5000, "aim": 400, "hardLimit": 1500, "points": 1, "lateValue": 0, "streamed": false},
+			{"name": "catalogue-read", "effect": "safe", "group": "all", "window": 5000, "aim": 250, "hardLimit": 1000, "points": 1, "lateValue": 0, "streamed": false},
+			{"name": "answer-save", "effect": "keyed", "group": "cell", "window": 3000, "aim": 300, "hardLimit": 5000, "points": 6, "lateValue": 0.7, "streamed": false}},
+		"clientHabits": object{"marksRetry": true},
+		"domain": object{"readLevel": []string{"session", "any", "write"}, "oldestData": []int{0, 0, 0}, "writeMarks": "carried",
+			"checks": "none", "catchUpWait": 0, "listRole": "none", "positions": false, "waitsForCopy": true, "countedFrom": 0},
+		"limits": object{"maxAttempts": 10, "cancel": true, "secondCopies": true, "probes": true, "peerMessages": true, "retryAfter": true,
+			"maxRetryAfter": 1000, "connectTimeout": 250, "connIdle": 15000, "maxOpen": 20000, "streamsPerConn": 1, "cpuUsPerS": 400000, "cpuUsPerRequest": 0},
+		"report": object{"how": "probe", "fields": []string{"x0", "x1"}},
+		"rules":  object{"cold": 15000, "coldFrom": 0.2, "fall": 2000, "fallMultiple": 4, "stopSendingWithin": 1000},
+		"tenants": []object{
+			{"name": "auckland-north", "share": 0.51, "quotaPerS": 600},
+			{"name": "canterbury", "share": 0.38, "quotaPerS": 600},
+			{"name": "otago-southland", "share": 0.11, "quotaPerS": 600}},
+	}
+}
