--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,214 +1,164 @@
 //go:build review
 
-// Command 2 plays case 2 of the review: the voters of a lease are restarted after the longest lease was shortened in the
-// operator's files. As "act ADDRESS NAME" it is the command that runs under the lease.
+// Command 2 plays case 2 of the review: answers that wait behind a slow one on a connection.
 package main
 
 import (
-	"bufio"
-	"crypto/rand"
-	"encoding/base64"
 	"fmt"
-	"net"
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
+	"cairntiller/internal/pgwire"
 	"cairntiller/review/play"
 )
 
 const (
-	routers   = 5 // the first three vote
-	lease     = "nightly"
-	longest   = "30s"
-	shortened = "5s"
-	actEvery  = 50 * time.Millisecond
-	slack     = 200 * time.Millisecond // an act may be under way for as long
+	hungGroup = 3 // the set whose primary hangs
+	group     = 4 // the other one
+	reads     = 44
+	writes    = 3      // to the other set, after the reads
+	valueSize = 64_000 // bytes and a few more; the protocol allows 64 KiB
+	writeTime = 2100   // ms: 42% of the client timeout of entry-post
+	readTime  = 2000   // ms
+
+	pause   = 40 * time.Millisecond  // between two commands of a client
+	stagger = 300 * time.Millisecond // between two clients
 )
 
-// act is one act under the lease, as the system that it acts on sees it.
-type act struct {
-	by, term string
-	at       time.Time
-}
-
-// acts are the acts so far.
-type acts struct {
-	mu  sync.Mutex
-	all []act
-}
-
 func main() {
-	if os.Args[1] == "act" {
-		work(os.Args[2], os.Args[3])
-		return
-	}
 	run := play.Begin(os.Args[1])
-	seen := &acts{}
-	target := seen.serve(run)
+	var mu sync.Mutex
+	ran := map[string]bool{} // writes
+	var nodes []*play.Node
 	var list []play.Endpoint
-	for i := range 6 {
-		list = append(list, run.StartNode(fmt.Sprintf("s-%d", i+1), 3, i == 0, 3).Endpoint())
+	for i := range 12 {
+		set := hungGroup
+		if i >= 6 {
+			set = group
+		}
+		n := run.StartNode(fmt.Sprintf("s-%d", i+1), set, i%6 == 0, 3)
+		n.Value = func(command *pgwire.Command) string {
+			if command.Group == "entry-post" {
+				mu.Lock()
+				ran[command.ID] = true
+				mu.Unlock()
+				return "made for " + command.ID + " "
+			}
+			return "made for " + command.ID + " " + strings.Repeat("x", valueSize)
+		}
+		nodes = append(nodes, n)
+		list = append(list, n.Endpoint())
 	}
 	discovery := run.StartDiscovery(41, list)
-	addresses := make([]string, routers)
-	for i := range addresses {
-		addresses[i] = run.FreeAddress()
+	var routers []*play.Router
+	for i := range 3 {
+		routers = append(routers, run.StartRouter(fmt.Sprintf("n%d", i), discovery.Address, discovery.Known(), play.StallRegister(i), ""))
 	}
-	secret := make([]byte, 32)
-	rand.Read(secret)
-	key := base64.StdEncoding.EncodeToString(secret)
-	var all []*play.Router
-	for i := range routers {
-		path := operatorFile(run, i, addresses, key, longest)
-		all = append(all, run.StartRouter(name(i), discovery.Address, discovery.Known(), play.StallRegister(i), "run --file "+path))
+	for round := range 3 { // all is well: each client's commands one after the other, to warm up
+		for i, router := range routers {
+			single(run, router, fmt.Sprintf("w%d%d", round, i))
+		}
 	}
-	holder := hold(run, 3, target, longest)
-	if play.Until(45*time.Second, func() bool { return seen.by(name(3)) > 20 }) != nil {
-		run.Logf("the log of the holder's router:\n%s", play.Indent(run.Log(name(3))))
-		run.Logf("its command:\n%s", play.Indent(run.Log(holder.Name)))
-		run.NotRun("%s got no lease", name(3))
+	if run.Trouble {
+		run.Logf("the primary %s hangs: it takes commands and answers none", nodes[0].Name)
+		nodes[0].Set(func(n *play.Node) { n.Hung = true })
 	}
-	run.Logf("%s acts under the lease", name(3))
-	time.Sleep(2 * time.Second)
-	for i := range routers {
-		operatorFile(run, i, addresses, key, shortened)
+	var wg sync.WaitGroup
+	answered := 0
+	var lost []string
+	for i, router := range routers {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * stagger)
+			a, l := batch(run, router, fmt.Sprintf("r%d", i))
+			mu.Lock()
+			answered += a
+			lost = append(lost, l...)
+			mu.Unlock()
+		})
 	}
-	run.Logf("the operator's files now say (longest %s)", shortened)
-	if run.Trouble {
-		var wg sync.WaitGroup
-		for _, voter := range all[:3] {
-			run.Logf("%s is killed", voter.Name)
-			voter.Signal(syscall.SIGKILL)
-		}
-		for _, voter := range all[:3] {
-			wg.Go(func() {
-				voter.Wait(5 * time.Second)
-				voter.Restart()
-			})
+	wg.Wait()
+	for _, router := range routers {
+		if router.Exited() {
+			run.Logf("%s:\n%s", router.Name, play.Indent(run.Log(router.Name)))
+			run.Broken("router %s has crashed", router.Name)
 		}
-		wg.Wait()
 	}
-	time.Sleep(3 * time.Second)
-	hold(run, 4, target, shortened) // another machine's job wants the lease too
-	time.Sleep(25 * time.Second)
-	for i := range routers {
-		run.Logf("the log of %s:\n%s", name(i), play.Indent(grep(run.Log(name(i)), "lease")))
+	if len(lost) > 0 {
+		effects := 0
+		for _, id := range lost {
+			if ran[id] {
+				effects++
+				run.Logf("%s has run at its node and has no answer", id)
+			}
+		}
+		run.Broken("%d commands got no answer because the router closed their connection, %d of them writes that had run; %d were answered",
+			len(lost), effects, answered)
 	}
-	seen.judge(run)
+	run.Held("all %d commands got their answer", answered)
 }
 
-func name(i int) string { return fmt.Sprintf("n%d", i+1) }
-
-// operatorFile writes a router's file, like deploy/leases.sexp.
-func operatorFile(run *play.Run, i int, addresses []string, key, longest string) string {
-	return run.WriteFile(name(i)+".sexp", fmt.Sprintf(`(fleet (name %q) (cluster "colombo") (listen %q) (join %q %q %q) (keys %q))
-(leases (longest %s) (drift 1) (voters (number 1) (names %q %q %q)))
-(control (socket %q))
-`, name(i), addresses[i], addresses[0], addresses[1], addresses[2], key, longest, name(0), name(1), name(2), socket(run, i)))
-}
-
-func socket(run *play.Run, i int) string { return run.Folder + "/" + name(i) + ".sock" }
-
-// hold starts a command under the lease at a router.
-func hold(run *play.Run, i int, target, length string) *play.Process {
-	self, err := os.Executable()
+// single sends a write and a read to each set on a connection of its own and expects all to be served.
+func single(run *play.Run, router *play.Router, id string) {
+	c, err := play.Connect(router.Address)
 	run.Check(err)
-	p := run.Start("hold-"+name(i), fmt.Sprintf("exec bin/cairntiller lease hold --socket %s --length %s %s -- %s act %s %s",
-		socket(run, i), length, lease, self, target, name(i)))
-	p.EndsItself = true
-	return p
-}
-
-// work is the command under the lease: it acts at intervals until it is ended.
-func work(target, name string) {
-	conn, err := net.Dial("tcp", target)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	for end := time.Now().Add(100 * time.Second); time.Now().Before(end); time.Sleep(actEvery) {
-		if _, err := fmt.Fprintln(conn, name, os.Getenv("CAIRNTILLER_TERM")); err != nil {
-			os.Exit(1)
+	defer c.Close()
+	for _, set := range []int{hungGroup, group} {
+		commands := [][]byte{
+			play.Write(fmt.Sprintf("%sw%d", id, set), "entry-post", "western-council", 5000, set, "key"+id),
+			play.Read(fmt.Sprintf("%sr%d", id, set), "board-view", "western-council", readTime, set, "key"+id),
+		}
+		for _, command := range commands {
+			run.Check(c.Send(command))
+			answer, err := c.Receive(time.Now().Add(6 * time.Second))
+			run.Check(err)
+			if answer.Code != "" {
+				run.NotRun("the warm-up of %s got %v", router.Name, answer)
+			}
 		}
 	}
 }
 
-// serve takes the acts of commands.
-func (a *acts) serve(run *play.Run) (address string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// batch sends a write to the set whose primary hangs, then reads to both sets and some writes to the other one, all on
+// one connection and without waiting for answers, and reads the answers at full speed. It returns the commands without
+// an answer.
+func batch(run *play.Run, router *play.Router, id string) (answered int, lost []string) {
+	c, err := play.Connect(router.Address)
 	run.Check(err)
+	defer c.Close()
+	ids := []string{id + "first"}
+	commands := [][]byte{play.Write(ids[0], "entry-post", "western-council", writeTime, hungGroup, "key"+id)}
+	for i := range reads {
+		next := fmt.Sprintf("%sread%02d", id, i)
+		ids = append(ids, next)
+		commands = append(commands, play.Read(next, "board-view", "central-council", readTime, hungGroup+i%2, "key"+id))
+	}
+	for i := range writes {
+		next := fmt.Sprintf("%swrite%d", id, i)
+		ids = append(ids, next)
+		commands = append(commands, play.Write(next, "entry-post", "central-council", writeTime, group, "key"+id))
+	}
+	began := time.Now()
 	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
+		for i, command := range commands {
+			run.Logf("client %s sends %s to %s", id, ids[i], router.Name)
+			if c.Send(command) != nil {
 				return
 			}
-			go func() {
-				for lines := bufio.NewScanner(conn); lines.Scan(); {
-					by, term, _ := strings.Cut(lines.Text(), " ")
-					a.mu.Lock()
-					a.all = append(a.all, act{by, term, time.Now()})
-					a.mu.Unlock()
-					run.Logf("%s acts under term %s", by, term)
-				}
-			}()
+			time.Sleep(pause)
 		}
 	}()
-	return ln.Addr().String()
-}
-
-// by returns the number of acts of a holder.
-func (a *acts) by(name string) (n int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, one := range a.all {
-		if one.by == name {
-			n++
+	for i, expected := range ids {
+		answer, err := c.Receive(began.Add(10 * time.Second))
+		if err != nil {
+			run.Logf("client %s: the connection ended before the answer to %s: %v; %d commands have no answer", id, expected, err, len(ids)-i)
+			return i, ids[i:]
 		}
-	}
-	return n
-}
-
-// judge ends the run: no holder may act after another one has begun.
-func (a *acts) judge(run *play.Run) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	first := map[string]time.Time{}
-	for _, one := range a.all {
-		if first[one.by].IsZero() {
-			first[one.by] = one.at
-		}
-	}
-	late := 0
-	var until time.Duration
-	var former, next act
-	for _, one := range a.all {
-		for other, began := range first {
-			if other != one.by && first[one.by].Before(began) && one.at.Sub(began) > slack {
-				late++
-				former = one
-				next = act{by: other}
-				until = max(until, one.at.Sub(began))
-			}
-		}
-	}
-	if late > 0 {
-		run.Broken("%s and %s acted as the holder of one lease at once for %d ms; %d acts of %s, under term %s, came after the first of %s",
-			former.by, next.by, until.Milliseconds(), late, former.by, former.term, next.by)
-	}
-	run.Held("%d acts, none after another holder had begun", len(a.all))
-}
-
-// grep returns the lines of a log that contain a word.
-func grep(log, word string) string {
-	var found []string
-	for line := range strings.SplitSeq(log, "\n") {
-		if strings.Contains(line, word) {
-			found = append(found, line)
+		run.Logf("client %s: %s is answered %d ms after the first command: %v", id, expected, answer.At.Sub(began).Milliseconds(), answer)
+		if answer.Code == "" && !strings.HasPrefix(answer.Value, "made for "+expected+" ") {
+			run.Broken("client %s got for %s what was not made for it: %v", id, expected, answer)
 		}
 	}
-	return strings.Join(found, "\n")
+	return len(ids), nil
 }
