--- a/review/play/settings.go
+++ b/review/play/settings.go
@@ -49,3 +49,25 @@
 			{"name": "otago-southland", "share": 0.11, "quotaPerS": 600}},
 	}
 }
+
+// ListingBoard returns the settings of a router of listing-board.
+func ListingBoard(me int, site string) map[string]any {
+	return object{
+		"az": site, "azs": []string{"worcester", "nashua", "providence"}, "family": "replicas", "layer": 0, "me": me, "siblings": 9,
+		"registryMode": "pushed", "round": 5, "overShareWorth": 0.2, "weightSource": "nominal", "worthBy": "request",
+		"classes": []object{
+			{"name": "own-read", "effect": "safe", "group": "all", "window": 5000, "aim": 100, "hardLimit": 300, "points": 1, "lateValue": 0, "streamed": false},
+			{"name": "post-change", "effect": "unsafe", "group": "all", "window": 5000, "aim": 200, "hardLimit": 2000, "points": 4, "lateValue": 0.7, "streamed": false}},
+		"clientHabits": object{"marksRetry": false},
+		"domain": object{"readLevel": []string{"session", "write"}, "oldestData": []int{0, 0}, "writeMarks": "remembered",
+			"checks": "wait", "catchUpWait": 20, "listRole": "start", "positions": false, "waitsForCopy": false, "countedFrom": 0},
+		"limits": object{"maxAttempts": 8, "cancel": true, "secondCopies": true, "probes": true, "peerMessages": true, "retryAfter": true,
+			"maxRetryAfter": 500, "connectTimeout": 250, "connIdle": 15000, "maxOpen": 20000, "streamsPerConn": 1, "cpuUsPerS": 400000, "cpuUsPerRequest": 0},
+		"report": object{"how": "probe", "fields": []string{"x0", "x1"}},
+		"rules":  object{"cold": 17000, "coldFrom": 0.19, "fall": 2000, "fallMultiple": 3, "stopSendingWithin": 250},
+		"tenants": []object{
+			{"name": "merrimack-valley", "share": 0.46, "quotaPerS": 1500},
+			{"name": "south-coast", "share": 0.32, "quotaPerS": 1100},
+			{"name": "berkshires", "share": 0.22, "quotaPerS": 700}},
+	}
+}
