Write answers held back behind a slow command as the connection takes them

Cause: session.flush wrote all answers that had become due in one loop, and Stream.Write closes a connection with over 1 MiB in its queue as that of a slow reader. The limit counted a burst that the router itself had held back. Held answers counted towards no limit on memory.

Change: a session writes an answer only while the stream has room (Stream.HasRoom) and goes on when the kernel has accepted one. A slow reader is one without room that accepts no answer for 2.2 s. Answers are in flight from the moment when they are known; a session with more than an equal share gets 53300 for a command, and 53200 in place of a value, once three quarters of the limit are used up, so the limit holds although answers are known only after admission. A cancel ends the first command that has no answer, for the first pending one may only wait for room.

Tests on the code before: TestHeldAnswersArriveBehindSlowCommand (46 bytes counted for 63 held values, then EOF), TestDrainWritesHeldAnswers and TestEachCommandGetsOneAnswerInOrder (EOF) fail; the others use what this commit adds.

--- a/internal/frontend/cancel.go
+++ b/internal/frontend/cancel.go
@@ -13,20 +13,21 @@
 	}
 }
 
-// cancelNext ends the next command to be answered and returns whether there was one. A command that arrived after the
-// cancel's connection is left alone: the cancel was meant for an earlier command, which was answered in the meantime.
+// cancelNext ends the first command whose answer is not known yet and returns whether there was one. A command that
+// arrived after the cancel's connection is left alone: the cancel was meant for an earlier command, which was answered
+// in the meantime.
 func (c *session) cancelNext(cancelledAt int64) bool {
 	c.mu.Lock()
-	if len(c.answers) == 0 || c.answers[0].request == nil || c.answers[0].arrivedAt >= cancelledAt {
+	next := c.firstUnknown()
+	if next == nil || next.arrivedAt >= cancelledAt {
 		c.mu.Unlock()
 		return false
 	}
-	next := c.answers[0]
-	next.bytes = pgwire.AppendError(nil, false, pgwire.CodeCanceled, "canceling statement due to user request", 0)
-	c.releaseCommand(next.request)
+	request := next.request
+	c.complete(next, pgwire.AppendError(nil, false, pgwire.CodeCanceled, "canceling statement due to user request", 0))
 	c.flush()
 	c.mu.Unlock()
 	cancelledCommands.Add()
-	c.server.requests.ClientGone(c.server.now(), next.request)
+	c.server.requests.ClientGone(c.server.now(), request)
 	return true
 }
--- a/internal/frontend/commands.go
+++ b/internal/frontend/commands.go
@@ -91,11 +91,11 @@
 	if c.server.draining.Load() && c.currentPhase() != phaseNew {
 		return serverDraining
 	}
-	if len(c.answers) >= maxPipelined || c.server.inFlightBytes.Load() >= c.server.limits.inFlightBytes {
+	if len(c.answers) >= maxPipelined || c.overInFlightLimit() {
 		return overLimits
 	}
 	c.setPhase(phaseBusy)
-	c.server.inFlightBytes.Add(int64(request.Command.Size()))
+	c.addInFlight(request.Command.Size())
 	c.answers = append(c.answers, &answer{request: request, arrivedAt: at})
 	return admitted
 }
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -16,6 +16,11 @@
 // A session whose client has disconnected is removed from the server's list in any phase. Once the router has decided
 // to close a session, no further commands are accepted on it (session.closing), even if answers are still pending.
 //
+// An answer that is known is held back until those of earlier commands are written and the connection has room for it:
+// behind a slow command many may become due at once. The connection of a client that reads too slowly is closed: one
+// that has no room, and accepts no answer, for a time. Commands and answers count as in flight until the kernel has
+// accepted them, wherever they wait; inflight_bytes.go limits them.
+//
 // When the limit on sessions is reached, a new connection needs the place of another. Sessions in phaseClosing do not
 // count against the limit; they only hold a descriptor. Of the others one is evicted, in this order: the oldest that
 // has sent no command within 0.1 s; the one idle the longest, if for more than 2 s; the oldest other new one. A session
--- /dev/null
+++ b/internal/frontend/inflight_bytes.go
@@ -0,0 +1,32 @@
+package frontend
+
+import "cairntiller/internal/pgwire"
+
+// Bytes in flight: those of a command from its arrival until its answer is known, and those of an answer from then on
+// until the kernel has accepted them, or until the client has disconnected. Answers that are held back behind a slow
+// command are therefore in flight, although none of their bytes is on the connection yet.
+//
+// Commands over the limit are rejected. The answers to those that were accepted before may still exceed it: a session
+// that has more than an equal share in flight then gets an error in place of a node's value.
+
+// outOfMemoryError answers a command whose value may not be held. It may have been executed.
+var outOfMemoryError = pgwire.AppendError(nil, false, pgwire.CodeOutOfMemory, "too many bytes of answers wait for this client", 0)
+
+// addInFlight adds to the bytes in flight, or subtracts from them.
+func (c *session) addInFlight(bytes int) {
+	c.inFlightBytes.Add(int64(bytes))
+	c.server.inFlightBytes.Add(int64(bytes))
+}
+
+// overInFlightLimit reports whether the session may not have another command in flight.
+func (c *session) overInFlightLimit() bool {
+	return c.server.inFlightBytes.Load() >= c.server.limits.inFlightBytes || c.overInFlightShare()
+}
+
+// overInFlightShare reports whether the session has more than an equal share of the bytes in flight, while the part of
+// them that such sessions may use is used up.
+func (c *session) overInFlightShare() bool {
+	s := c.server
+	equalShare := s.limits.inFlightBytes / int64(s.limits.sessions)
+	return s.inFlightBytes.Load() >= s.limits.sharedBytes && c.inFlightBytes.Load() > equalShare
+}
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -26,6 +26,10 @@
 	inFlightMemoryDivisor = 8
 	partialMemoryDivisor  = 16
 
+	// One in reservedInFlightDivisor bytes of those in flight is reserved for sessions with no more than an equal share
+	// of them, so that one session with many large answers does not keep all others from being served.
+	reservedInFlightDivisor = 4
+
 	// firstCommandTimeout, us, is the time within which a connection must send its first command, and within which a
 	// message that has begun must be complete. The protocol allows closing a connection after 2 s without a command,
 	// and requires closing one that never sends any within 3 s.
@@ -33,6 +37,9 @@
 	// firstCommandGrace, us, is the time within which the first command of a normal client has arrived, even if this
 	// router was briefly without a CPU core.
 	firstCommandGrace = 100_000
+	// slowReaderTimeout, us, is how long a connection that has no room for the next answer may accept no answer. It
+	// allows for a client or a router that stands still for a second. Clients that misbehave must be closed within 3 s.
+	slowReaderTimeout = 2_200_000
 	// idleTimeout, us, is the time without a command after which a connection may be closed.
 	idleTimeout = 2_000_000
 
@@ -54,6 +61,7 @@
 	lingeringSessions int   // additional sessions in phaseClosing
 	idleSessions      int   // those that may be idle for longer than idleTimeout
 	inFlightBytes     int64 // of commands and answers on all connections
+	sharedBytes       int64 // part of inFlightBytes that sessions with more than an equal share of it may use
 	partialBytes      int64 // of incomplete messages on all connections
 }
 
@@ -64,6 +72,7 @@
 		lingeringSessions: lingering,
 		idleSessions:      connections / idleDivisor,
 		inFlightBytes:     memory / inFlightMemoryDivisor,
+		sharedBytes:       memory / inFlightMemoryDivisor / reservedInFlightDivisor * (reservedInFlightDivisor - 1),
 		partialBytes:      memory / partialMemoryDivisor,
 	}
 }
@@ -150,13 +159,15 @@
 	}
 }
 
-// sweep closes expired sessions: those without a first command, those with an incomplete message, and, if too many are
-// idle, those idle the longest.
+// sweep closes expired sessions: those whose client reads too slowly, those without a first command, those with an
+// incomplete message, and, if too many are idle, those idle the longest.
 func (s *Server) sweep() {
 	now := s.now()
 	var idle []*session
 	for _, c := range s.allSessions() {
-		if c.pastFirstCommandTimeout(now) {
+		if c.readsTooSlowly(now) {
+			c.stream.CloseSlowReader()
+		} else if c.pastFirstCommandTimeout(now) {
 			timedOutConnections.Add()
 			c.partialSince.Store(0)
 			c.sendFatalError(pgwire.CodeIdleTimeout, "nothing whole came in time")
@@ -172,6 +183,13 @@
 	}
 }
 
+// readsTooSlowly reports whether the connection has had no room for the next answer, and accepted no other one, for too
+// long.
+func (c *session) readsTooSlowly(now int64) bool {
+	since := c.noRoomSince.Load()
+	return since > 0 && now-since > slowReaderTimeout
+}
+
 // pastFirstCommandTimeout reports whether the session's first command, or the rest of a message, is overdue.
 func (c *session) pastFirstCommandTimeout(now int64) bool {
 	phase := c.currentPhase()
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -8,6 +8,7 @@
 	evictedConnections    = metrics.New("client connections evicted")
 	connectionsOverLimit  = metrics.New("client connections over limit")
 	commandsOverLimits    = metrics.New("commands over in-flight limits")
+	answersOverLimits     = metrics.New("answers over in-flight limits")
 	idleClosedConnections = metrics.New("client connections closed idle")
 	timedOutConnections   = metrics.New("client connections timed out")
 	malformedStreams      = metrics.New("client streams malformed")
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -24,7 +24,7 @@
 	ready    atomic.Bool
 	draining atomic.Bool // the router is shutting down
 
-	inFlightBytes atomic.Int64 // of commands and answers on all connections
+	inFlightBytes atomic.Int64 // sum over all sessions
 	partialBytes  atomic.Int64 // of incomplete messages on all connections
 
 	mu         sync.Mutex
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -32,6 +32,9 @@
 	phase        atomic.Int32 // a phase; read by currentPhase, set by setPhase
 	phaseSince   atomic.Int64 // us: start of the phase
 	partialSince atomic.Int64 // us: when the first bytes of an incomplete message arrived, 0 for none
+	noRoomSince  atomic.Int64 // us: since when the connection has had no room for the next answer and accepted none; 0 if it has
+
+	inFlightBytes atomic.Int64 // of commands without an answer, and of answers that the kernel has not accepted
 
 	// Used only on the reader's goroutine.
 	frames          *pgwire.FrameDecoder // nil once input is discarded
--- a/internal/pgwire/codes.go
+++ b/internal/pgwire/codes.go
@@ -3,6 +3,7 @@
 // SQLSTATE codes that the router sends to clients or receives from nodes.
 const (
 	CodeRejected          = "53300" // too_many_connections: from a node, nothing was executed; to a client, it may retry
+	CodeOutOfMemory       = "53200" // out_of_memory: the answer is dropped, the command may have been executed
 	CodeNotReady          = "57P03" // cannot_connect_now
 	CodeIdleTimeout       = "57P05" // idle_session_timeout
 	CodeSystemError       = "58000" // system_error
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"log/slog"
 	"syscall"
 	"time"
 )
@@ -42,6 +43,22 @@
 	go s.Close() // Close may wait for a running callback
 }
 
+// CloseSlowReader closes the connection of a peer that does not read what is written to it. Queued bytes are dropped.
+func (s *Stream) CloseSlowReader() {
+	s.mu.Lock()
+	counted := s.closedAsSlow
+	s.closedAsSlow = true
+	s.closing = true
+	queued := s.queuedBytes
+	s.mu.Unlock()
+	if counted {
+		return
+	}
+	slowReaders.Add()
+	slog.Debug("connection closed: the peer reads too slowly", "peer", s.conn.RemoteAddr(), "queued_bytes", queued)
+	go s.Close() // Close calls the owner, which may be waiting for this call to return
+}
+
 // Close closes the connection at once.
 func (s *Stream) Close() { s.conn.Close() }
 
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -9,8 +9,9 @@
 //	ShutdownNow      the write side is shut down before the call returns, and the connection is closed soon after
 //	Close            the connection is closed
 //
-// The connection of a peer that reads too slowly is closed. Events.Closed is called once, whichever side ended the
-// connection.
+// The bytes that wait to be accepted by the kernel are limited. An owner that has more to write waits for room, and
+// closes the connection of a peer that reads too slowly with CloseSlowReader. Events.Closed is called once, whichever
+// side ended the connection.
 package stream
 
 import (
@@ -33,7 +34,7 @@
 	// lingerTimeout is how long a peer may take to close its side after the write side was shut down, so that it can
 	// read all bytes written.
 	lingerTimeout = time.Second
-	// maxQueuedBytes limits the bytes that wait for a peer that reads too slowly: 16 answers with values of 64 KiB.
+	// maxQueuedBytes limits the bytes that wait to be accepted by the kernel: 16 answers with values of 64 KiB.
 	maxQueuedBytes = 1 << 20
 	// receiveBuffer is the size of the kernel's receive buffer, which the kernel doubles. The library reads all of it
 	// at once, into a buffer that grows with what a peer sends at full speed.
@@ -61,13 +62,14 @@
 	conn netpoll.Connection
 	fd   int // -1 if the library has none; system calls on it fail
 
-	mu          sync.Mutex
-	queue       []queuedWrite
-	queuedBytes int  // in queue and in what is being written
-	writing     bool // writeQueued is running
-	closing     bool // no more writes are accepted; the write side is shut down once the queue is empty
-	closed      bool // fd may have been reused for another connection
-	peekBuffer  [1]byte
+	mu           sync.Mutex
+	queue        []queuedWrite
+	queuedBytes  int  // in queue and in what is being written
+	writing      bool // writeQueued is running
+	closing      bool // no more writes are accepted; the write side is shut down once the queue is empty
+	closed       bool // fd may have been reused for another connection
+	closedAsSlow bool // by CloseSlowReader
+	peekBuffer   [1]byte
 }
 
 type queuedWrite struct {
--- a/internal/stream/write.go
+++ b/internal/stream/write.go
@@ -6,9 +6,8 @@
 )
 
 // Write queues bytes, which belong to the stream from here on; it never blocks. done, if not nil, is called once: with
-// nil if the kernel has accepted all of the bytes, with ErrUnwritten only if it has certainly accepted none. A
-// connection with more than maxQueuedBytes in the queue is closed; a single larger write is allowed while the queue is
-// empty.
+// nil if the kernel has accepted all of the bytes, with ErrUnwritten only if it has certainly accepted none. If the queue
+// has no room for the bytes, the connection is closed; an owner that may write a lot at once calls HasRoom first.
 func (s *Stream) Write(p []byte, done func(error)) {
 	s.mu.Lock()
 	if s.closing {
@@ -18,12 +17,9 @@
 		}
 		return
 	}
+	overLimit := !s.hasRoom(len(p))
 	s.queue = append(s.queue, queuedWrite{p, done})
 	s.queuedBytes += len(p)
-	overLimit := s.queuedBytes > max(maxQueuedBytes, len(p))
-	if overLimit {
-		s.closing = true
-	}
 	startWriter := !s.writing
 	s.writing = true
 	s.mu.Unlock()
@@ -31,11 +27,21 @@
 		go s.writeQueued()
 	}
 	if overLimit {
-		slowReaders.Add()
-		go s.Close() // Close calls the owner, which may be waiting for Write to return
+		s.CloseSlowReader()
 	}
 }
 
+// HasRoom reports whether the queue has room for a write of the given size: at most maxQueuedBytes wait in it, or a
+// single larger write.
+func (s *Stream) HasRoom(size int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hasRoom(size)
+}
+
+// hasRoom is HasRoom for a caller that holds s.mu.
+func (s *Stream) hasRoom(size int) bool { return s.queuedBytes+size <= max(maxQueuedBytes, size) }
+
 // writeQueued writes until the queue is empty. It runs on a separate goroutine, because the library's flush blocks
 // while the peer reads nothing.
 func (s *Stream) writeQueued() {
