Release written answers, and queries that have left their queue

Callers saw: nothing by itself; a client that sends many commands at once and then rests kept up to 64 answers of 64 KiB each in the router's memory, uncounted, until it sent again or left.

Cause: session.flush takes answers from the front of a slice, whose array goes on pointing at them.

Evidence: weak pointers to 64 values alone; after all were read and a collection 64 of 64 were in memory before, at most one since, the last write of the network library.

Change: the entry is cleared as it is taken; the same for the writes that a stream's writer has taken, for queries that wait for a connection and for idle connections (those three by reading, without tests of their own).

--- a/internal/backend/descriptors.go
+++ b/internal/backend/descriptors.go
@@ -37,6 +37,7 @@
 		return false
 	}
 	p.drop(oldest.idle[0])
+	oldest.idle[0] = nil
 	oldest.idle = oldest.idle[1:]
 	return true
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -177,6 +177,7 @@
 // takeWaiting removes and returns the query that has waited longest; there must be one.
 func (n *node) takeWaiting() *query {
 	first := n.waiting[0]
+	n.waiting[0] = nil // the array must not keep the query
 	n.waiting = n.waiting[1:]
 	return first
 }
--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -79,6 +79,7 @@
 			c.noRoomSince.CompareAndSwap(0, c.server.now())
 			return
 		}
+		c.answers[0] = nil // the slice keeps its array, which must not keep the answer
 		c.answers = c.answers[1:]
 		wrote = true
 		if next.bytes != nil {
--- a/internal/stream/write.go
+++ b/internal/stream/write.go
@@ -51,7 +51,8 @@
 		if writes == nil {
 			return
 		}
-		for _, write := range writes {
+		for i, write := range writes {
+			writes[i] = queuedWrite{} // later writes may wait for long, and must not keep this one in memory
 			err := earlierErr
 			if err == nil {
 				err = s.writeBlocking(write.bytes)
