Answer every command that is rejected behind a slow one

Callers saw: a client that sends more than 128 commands on a connection while the first of them waits gets 128 answers, an error and the end of the connection; the commands behind have no answer, not even a rejection.

Cause: beyond 64 in flight commands are rejected in their turn. Each rejection was a pending answer, and session.queue closes a session with 128 of them, a limit that is meant for errors to invalid queries. The same confusion as with held answers: what waits for a slow command was counted as the client's fault.

Invalid queries keep their limit of 128 and its test (TestQueuedAnswersLimit).

Evidence: TestRejectedCommandsBehindSlowCommandAreAnswered on the code before: 64 of 400 rejected, then EOF; passes now. A first form closed a session over its share for commands at its next command: TestSessionOverItsShareStaysOpen fails with it. Package frontend passes 3 times with the race detector.

--- a/internal/frontend/commands.go
+++ b/internal/frontend/commands.go
@@ -33,10 +33,10 @@
 		readsAfterClose.Add()
 	case serverDraining:
 		commandsWhileDraining.Add()
-		c.sendError(pgwire.CodeNotReady, "the router is leaving; nothing was done")
+		c.rejectCommand(pgwire.CodeNotReady, "the router is leaving; nothing was done")
 	case overLimits:
 		commandsOverLimits.Add()
-		c.sendError(pgwire.CodeRejected, "too many commands in hand")
+		c.rejectCommand(pgwire.CodeRejected, "too many commands in hand")
 	}
 }
 
--- a/internal/frontend/held_answers_test.go
+++ b/internal/frontend/held_answers_test.go
@@ -72,13 +72,7 @@
 // send sends commands with the ids first, first+1, ... on a connection and returns their requests by id.
 func (s *testServer) send(t *testing.T, c net.Conn, first, count int) (requests []*inflight.Request) {
 	t.Helper()
-	var messages []byte
-	for i := range count {
-		messages = pgwire.AppendQuery(messages, fmt.Sprintf("/* id=%d,c=look,d=60000,cluster=0 */ SELECT '1'", first+i))
-	}
-	if _, err := c.Write(messages); err != nil {
-		t.Fatal(err)
-	}
+	writeCommands(t, c, first, count)
 	for range count {
 		select {
 		case request := <-s.submitted:
@@ -267,6 +261,30 @@
 	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
 }
 
+// TestSessionOverItsShareStaysOpen guards against closing a session that is over its share because of values that are
+// held back: its further commands are rejected, and all are answered.
+func TestSessionOverItsShareStaysOpen(t *testing.T) {
+	const accepted, rejected = 40, 300
+	s := startServer(t, 16<<20)
+	c := s.dial(t)
+	requests := s.send(t, c, 0, accepted)
+	for _, request := range requests[1:] {
+		request.Answer(value(request.Command.ID, largestValue))
+	}
+	owner := s.onlySession(t)
+	before := counterValue("commands over in-flight limits")
+	writeCommands(t, c, accepted, rejected)
+	waitFor(t, "the commands are rejected", func() bool {
+		return counterValue("commands over in-flight limits")-before == rejected || owner.isClosing()
+	})
+	requests[0].Fail()
+	for id := range accepted + rejected {
+		if answer := readAnswer(t, c); id >= accepted && !isError(answer, pgwire.CodeRejected) {
+			t.Fatalf("command %d got %.80q", id, answer)
+		}
+	}
+}
+
 // TestSessionOverItsShareIsRejected checks that a session whose held answers use up the shared part of the limit gets no
 // further command accepted, that another one does, and that nothing stays in flight once the client has disconnected.
 func TestSessionOverItsShareIsRejected(t *testing.T) {
@@ -384,3 +402,74 @@
 		}
 	}
 }
+
+// writeCommands writes commands with the ids first, first+1, ... on a connection.
+func writeCommands(t *testing.T, c net.Conn, first, count int) {
+	t.Helper()
+	var messages []byte
+	for i := range count {
+		messages = pgwire.AppendQuery(messages, fmt.Sprintf("/* id=%d,c=look,d=60000,cluster=0 */ SELECT '1'", first+i))
+	}
+	if _, err := c.Write(messages); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRejectedCommandsBehindSlowCommandAreAnswered guards against commands without an answer: those over the limit of a
+// connection are rejected in their turn, and after 64 rejections behind a slow command the connection was closed, so
+// that all further commands had none.
+func TestRejectedCommandsBehindSlowCommandAreAnswered(t *testing.T) {
+	const rejected = 400
+	s := startServer(t, 192<<20)
+	c := s.dial(t)
+	requests := s.send(t, c, 0, maxPipelined)
+	owner := s.onlySession(t)
+	before := counterValue("commands over in-flight limits")
+	writeCommands(t, c, maxPipelined, rejected)
+	waitFor(t, "the commands are rejected", func() bool {
+		return counterValue("commands over in-flight limits")-before == rejected || owner.isClosing()
+	})
+	for _, request := range requests {
+		request.Fail()
+	}
+	for id := range maxPipelined + rejected {
+		want := pgwire.CodeSystemError
+		if id >= maxPipelined {
+			want = pgwire.CodeRejected
+		}
+		if answer := readAnswer(t, c); !isError(answer, want) {
+			t.Fatalf("command %d got %.80q, want %s", id, answer, want)
+		}
+	}
+	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.send(t, c, maxPipelined+rejected, 1)[0].Fail() // the connection stays open
+	readAnswer(t, c)
+}
+
+// TestRejectionsAreLimitedByMemory guards against rejections that use up the memory for bytes in flight: a client that
+// goes on sending behind a slow command gets a last error once it has more than its share, and the accepted commands
+// are answered before it.
+func TestRejectionsAreLimitedByMemory(t *testing.T) {
+	const memoryLimit = 1 << 20
+	s := startServer(t, memoryLimit)
+	c := s.dial(t)
+	requests := s.send(t, c, 0, maxPipelined)
+	owner := s.onlySession(t)
+	writeCommands(t, c, maxPipelined, 4000)
+	waitFor(t, "the connection is to be closed", owner.isClosing)
+	if inFlight, limit := s.inFlightBytes.Load(), int64(memoryLimit/inFlightMemoryDivisor); inFlight > limit {
+		t.Errorf("%d bytes are in flight, the limit is %d", inFlight, limit)
+	}
+	for _, request := range requests {
+		request.Fail()
+	}
+	for range requests {
+		if answer := readAnswer(t, c); !isError(answer, pgwire.CodeSystemError) {
+			t.Fatalf("an accepted command got %.80q", answer)
+		}
+	}
+	rest, err := io.ReadAll(c)
+	if err != nil || !bytes.Contains(rest, []byte("SFATAL\x00")) {
+		t.Errorf("the connection ended with %.80q, %v", rest[max(0, len(rest)-80):], err)
+	}
+}
--- a/internal/frontend/inflight_bytes.go
+++ b/internal/frontend/inflight_bytes.go
@@ -7,7 +7,8 @@
 // command are therefore in flight, although none of their bytes is on the connection yet.
 //
 // Commands over the limit are rejected. The answers to those that were accepted before may still exceed it: a session
-// that has more than an equal share in flight then gets an error in place of a node's value.
+// that has more than an equal share in flight then gets an error in place of a node's value. If it goes on to send
+// commands, it is closed once even their rejections take too much.
 
 // outOfMemoryError answers a command whose value may not be held. It may have been executed.
 var outOfMemoryError = pgwire.AppendError(nil, false, pgwire.CodeOutOfMemory, "too many bytes of answers wait for this client", 0)
@@ -24,9 +25,17 @@
 }
 
 // overInFlightShare reports whether the session has more than an equal share of the bytes in flight, while the part of
-// them that such sessions may use is used up.
-func (c *session) overInFlightShare() bool {
+// them that such sessions may use for commands and answers is used up.
+func (c *session) overInFlightShare() bool { return c.overShareAbove(c.server.limits.sharedBytes) }
+
+// overRejectionShare is the same for the rejections of commands. They may use more, so that a session which is over
+// its share for commands is still told that its commands are rejected.
+func (c *session) overRejectionShare() bool { return c.overShareAbove(c.server.limits.rejectionBytes) }
+
+// overShareAbove reports whether the session has more than an equal share of the bytes in flight, while at least bound
+// are.
+func (c *session) overShareAbove(bound int64) bool {
 	s := c.server
 	equalShare := s.limits.inFlightBytes / int64(s.limits.sessions)
-	return s.inFlightBytes.Load() >= s.limits.sharedBytes && c.inFlightBytes.Load() > equalShare
+	return s.inFlightBytes.Load() >= bound && c.inFlightBytes.Load() > equalShare
 }
