Keep lingering sessions with unwritten answers before those with none

Callers saw: at the limit of connections, a client that reads its last answers while the router closes its session loses those that are not written yet, though another lingering session has everything.

Cause: chooseEviction ended the oldest lingering session, whether or not its queue was empty. Found on the paths of held answers.

Change: of the lingering sessions one whose answers are all written is ended first; only if there is none, the oldest. TestEvictionChoice gives its sessions an empty stream, which the choice now looks at; its cases and expectations are as before.

--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -94,7 +94,8 @@
 
 // chooseEviction chooses the session to close for a new connection: the oldest one of the lowest eviction rank.
 // Lingering sessions only hold a descriptor and do not count against the session limit. They are read for as long as
-// there are descriptors, so that the last bytes written to them arrive. The caller must hold s.mu.
+// there are descriptors, so that the last bytes written to them arrive; closedBefore chooses among them. The caller must
+// hold s.mu.
 func (s *Server) chooseEviction() eviction {
 	if len(s.sessions) < s.limits.sessions {
 		return eviction{}
@@ -102,11 +103,11 @@
 	now := s.now()
 	active := 0
 	lowest := rankNever
-	var candidate, oldestLingering *session
+	var candidate, lingering *session
 	for _, c := range s.sessions {
 		if c.currentPhase() == phaseClosing {
-			if c.olderThan(oldestLingering) {
-				oldestLingering = c
+			if c.closedBefore(lingering) {
+				lingering = c
 			}
 			continue
 		}
@@ -118,12 +119,25 @@
 		}
 	}
 	if len(s.sessions) < s.limits.sessions+s.limits.lingeringSessions {
-		oldestLingering = nil
+		lingering = nil
 	}
 	if active < s.limits.sessions {
-		return eviction{closeLingering: oldestLingering}
+		return eviction{closeLingering: lingering}
 	}
-	return eviction{closeLingering: oldestLingering, evict: candidate, rejectNew: candidate == nil}
+	return eviction{closeLingering: lingering, evict: candidate, rejectNew: candidate == nil}
+}
+
+// closedBefore reports whether the lingering session is closed for a new connection before other: one whose answers are
+// all written goes before one that would lose some, and of equal ones the older. Every session goes before nil.
+func (c *session) closedBefore(other *session) bool {
+	if other == nil {
+		return true
+	}
+	written := c.stream.WriteSideClosed()
+	if written != other.stream.WriteSideClosed() {
+		return written
+	}
+	return c.olderThan(other)
 }
 
 // olderThan reports whether the session has been in its phase for longer than other; every session is older than nil.
--- a/internal/frontend/limits_test.go
+++ b/internal/frontend/limits_test.go
@@ -1,6 +1,10 @@
 package frontend
 
-import "testing"
+import (
+	"testing"
+
+	"cairntiller/internal/stream"
+)
 
 // TestEvictionChoice checks which session is closed for a new connection. Lingering sessions hold descriptors but do
 // not count against the session limit; they are kept for as long as there are descriptors, so that their last answer
@@ -25,7 +29,7 @@
 		now := int64(10_000_000)
 		server := New(func() int64 { return now }, &countingHandler{}, Config{MaxConnections: 32, MemoryLimit: 1 << 20})
 		for i, p := range c.phases {
-			s := &session{server: server, number: uint32(i)}
+			s := &session{server: server, stream: &stream.Stream{}, number: uint32(i)}
 			s.phase.Store(int32(p))
 			s.phaseSince.Store(now - c.age + int64(i))
 			server.sessions[s.number] = s
