--- a/internal/engine/node_reports_test.go
+++ b/internal/engine/node_reports_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cairntiller/internal/metrics"
 	"cairntiller/internal/testcluster/scriptedserver"
 )
 
@@ -24,13 +25,13 @@
 		millis, seconds := report(c.offset)
 		r := startRouter(t, 9, scriptedserver.Start(t, scriptedserver.Welcome), scriptedserver.Start(t, scriptedserver.Welcome,
 			scriptedserver.Status("role", "replica")+scriptedserver.Status("applied_ms", millis)+scriptedserver.Status("load", fmt.Sprintf(c.load, seconds))+scriptedserver.Row+scriptedserver.Ready))
-		before := counterValue("load reports impossible")
+		before := metrics.Value("load reports impossible")
 		conn := r.dial(t)
 		sendCommand(conn, "1", "look", "900")
 		if got := summary(readUntil(t, conn, 'Z')); got != "row" {
 			t.Errorf("%s: %q", name, got)
 		}
-		if got := counterValue("load reports impossible") - before; got != c.want {
+		if got := metrics.Value("load reports impossible") - before; got != c.want {
 			t.Errorf("%s: %d discarded as implausible", name, got)
 		}
 	}
--- a/internal/engine/race_conditions_test.go
+++ b/internal/engine/race_conditions_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cairntiller/internal/metrics"
 	"cairntiller/internal/pgwire"
 	"cairntiller/internal/testcluster/scriptedserver"
 )
@@ -104,12 +105,12 @@
 	c, k := cancelKey(t, r)
 	sendCommand(c, "1", "look", "900")
 	<-replica.Queries
-	before := counterValue("client connections ")
+	before := metrics.Value("client connections")
 	cancelConn, err := net.Dial("tcp", r.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for counterValue("client connections ") == before {
+	for metrics.Value("client connections") == before {
 		time.Sleep(time.Millisecond)
 	}
 	if got := summary(readUntil(t, c, 'Z')); got != "row" {
@@ -135,7 +136,7 @@
 	r := startRouter(t, 999, &scriptedserver.Node{Addr: node.Addr})
 	const clients = 200
 	concluded := func() int64 { // some may be rejected before their clients disconnect
-		return counterValue("commands abandoned by clients") + counterValue("commands rejected")
+		return metrics.Value("commands abandoned by clients") + metrics.Value("commands rejected")
 	}
 	before := concluded()
 	var all []net.Conn
@@ -190,11 +191,11 @@
 	sendCommand(c, "1", "look", "5000")
 	<-replica.Queries
 	r.frontend.BeginDrain()
-	before := counterValue("commands while draining")
+	before := metrics.Value("commands while draining")
 	for i := range 3 {
 		sendCommand(c, fmt.Sprint("late", i), "look", "5000")
 	}
-	for counterValue("commands while draining") < before+3 {
+	for metrics.Value("commands while draining") < before+3 {
 		time.Sleep(time.Millisecond)
 	}
 	replica.Opened()[0].Write([]byte(scriptedserver.Row + scriptedserver.Ready))
--- a/internal/engine/router_harness_test.go
+++ b/internal/engine/router_harness_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -12,7 +11,6 @@
 	"cairntiller/internal/discovery"
 	"cairntiller/internal/engine"
 	"cairntiller/internal/frontend"
-	"cairntiller/internal/metrics"
 	"cairntiller/internal/pgwire"
 	"cairntiller/internal/routing"
 	"cairntiller/internal/settings"
@@ -113,13 +111,3 @@
 func sendCommand(c net.Conn, id, group, timeoutMillis string) {
 	c.Write(pgwire.AppendQuery(nil, "/* id="+id+",c="+group+",t=acme,d="+timeoutMillis+",cluster=0 */ SELECT '"+id+"'"))
 }
-
-// counterValue returns the value of a counter from the printed metrics.
-func counterValue(name string) (n int64) {
-	var all bytes.Buffer
-	metrics.Print(&all)
-	if _, rest, found := strings.Cut(all.String(), name); found {
-		fmt.Sscan(rest, &n)
-	}
-	return n
-}
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -25,5 +25,5 @@
 // count against the limit; they only hold a descriptor. Of the others one is evicted, in this order: the oldest that
 // has sent no command within 0.1 s; the one idle the longest, if for more than 2 s; the oldest other new one. A session
 // with a command in flight is never evicted. If all sessions have a command in flight or became idle less than 2 s ago,
-// the new connection is rejected. limits.go implements these rules.
+// the new connection is rejected. eviction.go implements these rules.
 package frontend
--- /dev/null
+++ b/internal/frontend/inflight_bytes_test.go
@@ -0,0 +1,157 @@
+package frontend
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"testing"
+
+	"cairntiller/internal/inflight"
+	"cairntiller/internal/metrics"
+	"cairntiller/internal/pgwire"
+)
+
+// TestHeldAnswersAreLimited guards against answers held back behind slow commands that use up the router's memory. A
+// session with more than its share gets errors in place of values, no command is left without an answer, and another
+// session is served all the while.
+func TestHeldAnswersAreLimited(t *testing.T) {
+	const memoryLimit = 16 << 20 // of which 2 MiB may be in flight
+	s := startServer(t, memoryLimit)
+	c, other := s.dial(t), s.dial(t)
+	requests := s.send(t, c, 0, maxPipelined)
+	for _, request := range requests[1:] {
+		request.Answer(value(request.Command.ID, largestValue))
+	}
+	if inFlight, limit := s.inFlightBytes.Load(), int64(memoryLimit/inFlightMemoryDivisor); inFlight > limit || inFlight < limit/2 {
+		t.Errorf("%d bytes are in flight, the limit is %d", inFlight, limit)
+	}
+	for id := range 3 { // values of the largest size
+		s.send(t, other, 1000+id, 1)[0].Answer(value(fmt.Sprint(1000+id), largestValue))
+		if answer := readAnswer(t, other); !isValueOf(answer, 1000+id) {
+			t.Errorf("the other client got %.80q", answer)
+		}
+	}
+	requests[0].Fail()
+	readAnswer(t, c)
+	values := 0
+	for id := 1; id < maxPipelined; id++ {
+		answer := readAnswer(t, c)
+		if isValueOf(answer, id) {
+			values++
+		} else if !isError(answer, pgwire.CodeOutOfMemory) {
+			t.Errorf("command %d got %.80q", id, answer)
+		}
+	}
+	if values < 16 {
+		t.Errorf("%d of %d values were held", values, maxPipelined-1)
+	}
+	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+}
+
+// TestSessionOverItsShareStaysOpen guards against closing a session that is over its share because of values that are
+// held back: its further commands are rejected, and all are answered.
+func TestSessionOverItsShareStaysOpen(t *testing.T) {
+	const accepted, rejected = 40, 300
+	s := startServer(t, 16<<20)
+	c := s.dial(t)
+	requests := s.send(t, c, 0, accepted)
+	for _, request := range requests[1:] {
+		request.Answer(value(request.Command.ID, largestValue))
+	}
+	owner := s.onlySession(t)
+	before := metrics.Value("commands over in-flight limits")
+	writeCommands(t, c, accepted, rejected)
+	waitFor(t, "the commands are rejected", func() bool {
+		return metrics.Value("commands over in-flight limits")-before == rejected || owner.isClosing()
+	})
+	requests[0].Fail()
+	for id := range accepted + rejected {
+		if answer := readAnswer(t, c); id >= accepted && !isError(answer, pgwire.CodeRejected) {
+			t.Fatalf("command %d got %.80q", id, answer)
+		}
+	}
+}
+
+// TestSessionOverItsShareIsRejected checks that a session whose held answers use up the shared part of the limit gets no
+// further command accepted, that another one does, and that nothing stays in flight once the client has disconnected.
+func TestSessionOverItsShareIsRejected(t *testing.T) {
+	s := startServer(t, 16<<20)
+	c := s.dial(t)
+	requests := s.send(t, c, 0, maxPipelined-1)
+	owner := s.onlySession(t)
+	for _, request := range requests[1:] {
+		request.Answer(value(request.Command.ID, largestValue))
+	}
+	other := inflight.NewRequest(&pgwire.Command{}, nil, 0, -1, 0)
+	if got := owner.admit(1, other); got != overLimits {
+		t.Errorf("a command over the limit: %v", got)
+	}
+	newcomer := &session{server: s.Server}
+	if got := newcomer.admit(1, other); got != admitted {
+		t.Errorf("a command of another session: %v", got)
+	}
+	c.Close()
+	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	if abandoned := <-s.abandoned; abandoned != requests[0] || len(s.abandoned) > 0 {
+		t.Error("not exactly the unanswered command was abandoned")
+	}
+}
+
+// TestRejectedCommandsBehindSlowCommandAreAnswered guards against commands without an answer: those over the limit of a
+// connection are rejected in their turn, and after 64 rejections behind a slow command the connection was closed, so
+// that all further commands had none.
+func TestRejectedCommandsBehindSlowCommandAreAnswered(t *testing.T) {
+	const rejected = 400
+	s := startServer(t, 192<<20)
+	c := s.dial(t)
+	requests := s.send(t, c, 0, maxPipelined)
+	owner := s.onlySession(t)
+	before := metrics.Value("commands over in-flight limits")
+	writeCommands(t, c, maxPipelined, rejected)
+	waitFor(t, "the commands are rejected", func() bool {
+		return metrics.Value("commands over in-flight limits")-before == rejected || owner.isClosing()
+	})
+	for _, request := range requests {
+		request.Fail()
+	}
+	for id := range maxPipelined + rejected {
+		want := pgwire.CodeSystemError
+		if id >= maxPipelined {
+			want = pgwire.CodeRejected
+		}
+		if answer := readAnswer(t, c); !isError(answer, want) {
+			t.Fatalf("command %d got %.80q, want %s", id, answer, want)
+		}
+	}
+	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.send(t, c, maxPipelined+rejected, 1)[0].Fail() // the connection stays open
+	readAnswer(t, c)
+}
+
+// TestRejectionsAreLimitedByMemory guards against rejections that use up the memory for bytes in flight: a client that
+// goes on sending behind a slow command gets a last error once it has more than its share, and the accepted commands
+// are answered before it.
+func TestRejectionsAreLimitedByMemory(t *testing.T) {
+	const memoryLimit = 1 << 20
+	s := startServer(t, memoryLimit)
+	c := s.dial(t)
+	requests := s.send(t, c, 0, maxPipelined)
+	owner := s.onlySession(t)
+	writeCommands(t, c, maxPipelined, 4000)
+	waitFor(t, "the connection is to be closed", owner.isClosing)
+	if inFlight, limit := s.inFlightBytes.Load(), int64(memoryLimit/inFlightMemoryDivisor); inFlight > limit {
+		t.Errorf("%d bytes are in flight, the limit is %d", inFlight, limit)
+	}
+	for _, request := range requests {
+		request.Fail()
+	}
+	for range requests {
+		if answer := readAnswer(t, c); !isError(answer, pgwire.CodeSystemError) {
+			t.Fatalf("an accepted command got %.80q", answer)
+		}
+	}
+	rest, err := io.ReadAll(c)
+	if err != nil || !bytes.Contains(rest, []byte("SFATAL\x00")) {
+		t.Errorf("the connection ended with %.80q, %v", rest[max(0, len(rest)-80):], err)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -39,6 +39,16 @@
 // Count returns the current value.
 func (c *Counter) Count() int64 { return c.value.Load() }
 
+// Value returns the value of the counter with the given name, 0 if there is none.
+func Value(name string) int64 {
+	for _, c := range counters {
+		if c.name == name {
+			return c.Count()
+		}
+	}
+	return 0
+}
+
 // Print writes all nonzero counters, one per line.
 func Print(w io.Writer) {
 	for _, c := range counters {
