Keep small answers of a session that is over its share

Most answers to writes are small, and 53200 in their place leaves the client in doubt whether the write was executed.

--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -81,12 +81,12 @@
 	c.flush()
 }
 
-// complete sets a pending answer. If the session may not hold its bytes, the client gets an error in their place. The
-// caller must hold c.mu.
+// complete sets a pending answer. If the session may not hold its bytes, the client gets an error in their place; small
+// answers are kept. The caller must hold c.mu.
 func (c *session) complete(pending *answer, bytes []byte) {
 	c.addInFlight(-pending.request.Command.Size())
 	pending.request = nil // the command is not needed any more
-	if len(bytes) > len(outOfMemoryError) && c.overInFlightShare() {
+	if len(bytes) > maxKeptAnswer && c.overInFlightShare() {
 		answersOverLimits.Add()
 		bytes = outOfMemoryError
 	}
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -21,6 +21,9 @@
 	// it, errors could accumulate in memory behind one slow command. Beyond it, the connection is closed when it sends an
 	// invalid query; the rejections of commands are joined, and limited by their bytes.
 	maxQueuedAnswers = 128
+	// maxKeptAnswer, bytes, is the largest answer that a session keeps even if it is over its share. Most answers to
+	// writes are small; without them a client can't tell whether the write was executed.
+	maxKeptAnswer = 512
 	// maxJoinedRejections is the number of bytes from which on no further rejection is added to a pending answer.
 	maxJoinedRejections = 1 << 16
 
