--- a/internal/frontend/inflight_bytes.go
+++ b/internal/frontend/inflight_bytes.go
@@ -7,7 +7,7 @@
 // command are therefore in flight, although none of their bytes is on the connection yet.
 //
 // Commands over the limit are rejected. The answers to those that were accepted before may still exceed it: a session
-// that has more than an equal share in flight then gets an error in place of a node's value. If it goes on to send
+// that has more than an equal share in flight then gets an error in place of a large value. If it goes on to send
 // commands, it is closed once even their rejections take too much.
 
 // outOfMemoryError answers a command whose value may not be held. It may have been executed.
