Use one piece each for appending known answers and for equal shares

queue, rejectCommand and appendLast each counted, appended and flushed; appendKnown does it for all three. A rejection that is joined to a pending one needs no flush: nothing became due. recordPartial and the bytes in flight each divided a limit by the sessions; limits.equalShare does. closedBefore asks hasPendingWrites, which was there.

--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -52,9 +52,9 @@
 	if other == nil {
 		return true
 	}
-	written := c.stream.WriteSideClosed()
-	if written != other.stream.WriteSideClosed() {
-		return written
+	pending := c.hasPendingWrites()
+	if pending != other.hasPendingWrites() {
+		return !pending
 	}
 	return c.olderThan(other)
 }
--- a/internal/frontend/inflight_bytes.go
+++ b/internal/frontend/inflight_bytes.go
@@ -36,6 +36,5 @@
 // are.
 func (c *session) overShareAbove(bound int64) bool {
 	s := c.server
-	equalShare := s.limits.inFlightBytes / int64(s.limits.sessions)
-	return s.inFlightBytes.Load() >= bound && c.inFlightBytes.Load() > equalShare
+	return s.inFlightBytes.Load() >= bound && c.inFlightBytes.Load() > s.limits.equalShare(s.limits.inFlightBytes)
 }
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// equalShare returns what each session may use of a number of bytes if all use the same.
+func (l limits) equalShare(bytes int64) int64 { return bytes / int64(l.sessions) }
+
 // sweep closes expired sessions: those whose client reads too slowly, those without a first command, those with an
 // incomplete message, and, if too many are idle, those idle the longest.
 func (s *Server) sweep() {
@@ -141,8 +144,7 @@
 		return
 	}
 	c.partialSince.CompareAndSwap(0, at)
-	fairShare := s.limits.partialBytes / int64(s.limits.sessions)
-	if total > s.limits.partialBytes && bytes > fairShare {
+	if total > s.limits.partialBytes && bytes > s.limits.equalShare(s.limits.partialBytes) {
 		connectionsOverLimit.Add()
 		c.sendFatalError(pgwire.CodeRejected, "too much in hand")
 		c.recordPartial(at, 0)
--- a/internal/frontend/router_answers.go
+++ b/internal/frontend/router_answers.go
@@ -26,9 +26,7 @@
 		c.closeOverLimit()
 		return
 	}
-	c.addInFlight(len(bytes))
-	c.answers = append(c.answers, &answer{bytes: bytes})
-	c.flush()
+	c.appendKnown(&answer{bytes: bytes})
 }
 
 // rejectCommand queues the answer to a command that is not accepted; the session stays open. Each command must get an
@@ -45,13 +43,12 @@
 		return
 	}
 	bytes := pgwire.AppendError(nil, false, code, message, 0)
-	c.addInFlight(len(bytes))
 	if tail := c.lastRejections(); tail != nil {
+		c.addInFlight(len(bytes))
 		tail.bytes = append(tail.bytes, bytes...)
-	} else {
-		c.answers = append(c.answers, &answer{bytes: bytes, rejected: true})
+		return
 	}
-	c.flush()
+	c.appendKnown(&answer{bytes: bytes, rejected: true})
 }
 
 // lastRejections returns the last pending answer if another rejection may be added to its bytes, else nil. The caller
@@ -89,7 +86,13 @@
 	if len(c.answers) == 0 {
 		c.setPhase(phaseClosing)
 	}
-	c.addInFlight(len(bytes))
-	c.answers = append(c.answers, &answer{bytes: bytes, last: true})
+	c.appendKnown(&answer{bytes: bytes, last: true})
+}
+
+// appendKnown adds an answer that is known after the pending answers, and writes it if its turn has come. The caller
+// must hold c.mu.
+func (c *session) appendKnown(next *answer) {
+	c.addInFlight(len(next.bytes))
+	c.answers = append(c.answers, next)
 	c.flush()
 }
