--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -70,9 +70,7 @@
 	reading := s.dial(t) // and pauses
 	requests := s.send(t, reading, 0, maxPipelined)
 	owner := s.onlySession(t)
-	for _, request := range requests {
-		request.Answer(value(request.Command.ID, 2*largestValue))
-	}
+	answerAll(requests, 2*largestValue)
 	owner.sendFatalError(pgwire.CodeIdleTimeout, "the last answer")
 	for waitUntilBlocked(owner); owner.currentPhase() != phaseClosing; waitUntilBlocked(owner) {
 		readAnswer(t, reading) // until the rest is queued on the connection
@@ -84,7 +82,7 @@
 	for _, c := range s.allSessions() {
 		if c != owner {
 			c.sendFatalError(pgwire.CodeIdleTimeout, "written at once")
-			waitFor(t, "the last error is written", c.stream.WriteSideClosed)
+			eventually(t, "the last error is written", c.stream.WriteSideClosed)
 		}
 	}
 	for range s.limits.sessions + 1 { // the last one needs the descriptor of a lingering session
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
-	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -12,7 +12,9 @@
 	"time"
 
 	"cairntiller/internal/inflight"
+	"cairntiller/internal/metrics"
 	"cairntiller/internal/pgwire"
+	"cairntiller/internal/testcluster/scriptedserver"
 )
 
 // largestValue is the size of the largest value that the protocol allows, bytes.
@@ -38,14 +40,20 @@
 	s := &testServer{requestCollector: requestCollector{make(chan *inflight.Request, 1000), make(chan *inflight.Request, 1000)}}
 	now := func() int64 { return time.Since(start).Microseconds() + 1 + s.ahead.Load() }
 	s.Server = New(now, &s.requestCollector, Config{GroupNumbers: map[string]int{"look": 0}, MaxConnections: 32, MemoryLimit: memoryLimit})
-	s.SetReady()
+	s.address = serveOnLoopback(t, s.Server)
+	return s
+}
+
+// serveOnLoopback lets a server accept commands and returns its address.
+func serveOnLoopback(t *testing.T, s *Server) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.address = ln.Addr().String()
+	s.SetReady()
 	go s.Serve(ln)
-	return s
+	return ln.Addr().String()
 }
 
 // dial opens a connection whose kernel takes few bytes for a client that reads nothing, and reads the startup's reply.
@@ -92,8 +100,33 @@
 	return all[0]
 }
 
-// waitFor polls until the condition holds.
-func waitFor(t *testing.T, what string, condition func() bool) {
+// checkNoneInFlight checks that the bytes in flight return to zero.
+func (s *testServer) checkNoneInFlight(t *testing.T) {
+	t.Helper()
+	eventually(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+}
+
+// sendRejected sends commands that are over the limits on a session's connection, and waits until all are rejected or
+// the session is to be closed.
+func (s *testServer) sendRejected(t *testing.T, c net.Conn, owner *session, first, count int) {
+	t.Helper()
+	const counter = "commands over in-flight limits"
+	before := metrics.Value(counter)
+	writeCommands(t, c, first, count)
+	eventually(t, "the commands are rejected", func() bool {
+		return metrics.Value(counter)-before == int64(count) || owner.isClosing()
+	})
+}
+
+// answerAll answers requests with values of the given size.
+func answerAll(requests []*inflight.Request, size int) {
+	for _, request := range requests {
+		request.Answer(value(request.Command.ID, size))
+	}
+}
+
+// eventually polls until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !condition(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -105,31 +138,32 @@
 // value returns a value that was made for a command.
 func value(id string, size int) []byte {
 	text := "made for " + id + " " + strings.Repeat("x", size)
-	columns := []byte("\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00")
-	row := append([]byte{0, 1, byte(len(text) >> 24), byte(len(text) >> 16), byte(len(text) >> 8), byte(len(text))}, text...)
-	message := func(messageType byte, body []byte) []byte {
-		length := len(body) + 4
-		return append([]byte{messageType, byte(length >> 24), byte(length >> 16), byte(length >> 8), byte(length)}, body...)
-	}
-	return bytes.Join([][]byte{message('T', columns), message('D', row), message('C', []byte("SELECT 1\x00"))}, nil)
+	column := binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(text)))
+	row := pgwire.Frame{Type: 'D', Body: append(column, text...)}.Append([]byte(scriptedserver.RowStart))
+	return append(row, scriptedserver.RowEnd...)
 }
 
 // readAnswer reads up to and including the next ReadyForQuery.
-func readAnswer(t *testing.T, c net.Conn) []byte {
+func readAnswer(t *testing.T, c net.Conn) (answer []byte) {
 	t.Helper()
-	var all []byte
 	for {
-		header := make([]byte, 5)
-		if _, err := io.ReadFull(c, header); err != nil {
-			t.Fatalf("the connection ended within an answer of which %d bytes were read: %v", len(all), err)
+		message, err := scriptedserver.ReadFrame(c, true)
+		if err != nil {
+			t.Fatalf("the connection ended within an answer of which %d bytes were read: %v", len(answer), err)
 		}
-		body := make([]byte, int(header[1])<<24|int(header[2])<<16|int(header[3])<<8|int(header[4])-4)
-		if _, err := io.ReadFull(c, body); err != nil {
-			t.Fatalf("the connection ended within a message: %v", err)
+		answer = append(answer, message...)
+		if message[0] == 'Z' {
+			return answer
 		}
-		all = append(append(all, header...), body...)
-		if header[0] == 'Z' {
-			return all
+	}
+}
+
+// readValues reads answers, which must be the values that were made for the commands first, first+1, ...
+func readValues(t *testing.T, c net.Conn, first, count int) {
+	t.Helper()
+	for i := range count {
+		if answer := readAnswer(t, c); !isValueOf(answer, first+i) {
+			t.Fatalf("command %d got %.80q", first+i, answer)
 		}
 	}
 }
--- a/internal/frontend/held_answers_test.go
+++ b/internal/frontend/held_answers_test.go
@@ -16,9 +16,7 @@
 	s := startServer(t, 192<<20)
 	c := s.dial(t)
 	requests := s.send(t, c, 0, maxPipelined)
-	for _, request := range requests[1:] {
-		request.Answer(value(request.Command.ID, largestValue))
-	}
+	answerAll(requests[1:], largestValue)
 	if held := s.inFlightBytes.Load(); held < (maxPipelined-1)*largestValue {
 		t.Errorf("%d bytes are in flight while %d values of 64 KiB are held back", held, maxPipelined-1)
 	}
@@ -26,12 +24,8 @@
 	if answer := readAnswer(t, c); !isError(answer, pgwire.CodeSystemError) {
 		t.Errorf("slow command: %.80q", answer)
 	}
-	for id := 1; id < maxPipelined; id++ {
-		if answer := readAnswer(t, c); !isValueOf(answer, id) {
-			t.Fatalf("command %d got %.80q", id, answer)
-		}
-	}
-	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	readValues(t, c, 1, maxPipelined-1)
+	s.checkNoneInFlight(t)
 	s.send(t, c, maxPipelined, 1)[0].Fail() // the connection stays open
 	readAnswer(t, c)
 }
@@ -41,13 +35,11 @@
 func TestClientThatReadsNothingIsClosed(t *testing.T) {
 	s := startServer(t, 192<<20)
 	c := s.dial(t)
-	for _, request := range s.send(t, c, 0, maxPipelined) {
-		request.Answer(value(request.Command.ID, 2*largestValue))
-	}
+	answerAll(s.send(t, c, 0, maxPipelined), 2*largestValue)
 	const counter = "peers that read too slowly"
 	closedBefore := metrics.Value(counter)
 	owner := s.onlySession(t)
-	waitFor(t, "the connection is closed", func() bool {
+	eventually(t, "the connection is closed", func() bool {
 		if owner.noRoomSince.Load() > 0 {
 			s.ahead.Add(slowReaderTimeout + 1)
 			s.sweep()
@@ -57,7 +49,7 @@
 	if closed := metrics.Value(counter) - closedBefore; closed != 1 {
 		t.Errorf("closed as a slow reader %d times", closed)
 	}
-	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.checkNoneInFlight(t)
 }
 
 // TestSlowReaderTimeout checks that a connection may have no room for slowReaderTimeout, and that an answer that was
@@ -88,25 +80,19 @@
 	requests := s.send(t, c, 0, maxPipelined)
 	owner := s.onlySession(t)
 	last := maxPipelined - 1
-	for _, request := range requests[:last] {
-		request.Answer(value(request.Command.ID, 2*largestValue))
-	}
-	waitFor(t, "answers wait for room", func() bool { return owner.noRoomSince.Load() > 0 })
+	answerAll(requests[:last], 2*largestValue)
+	eventually(t, "answers wait for room", func() bool { return owner.noRoomSince.Load() > 0 })
 	if !owner.cancelNext(s.now()) || owner.cancelNext(s.now()) {
 		t.Error("not exactly one command was cancelled")
 	}
 	if cancelled := <-s.abandoned; cancelled != requests[last] {
 		t.Errorf("command %s was cancelled", cancelled.Command.ID)
 	}
-	for id := range last {
-		if answer := readAnswer(t, c); !isValueOf(answer, id) {
-			t.Fatalf("command %d got %.80q", id, answer)
-		}
-	}
+	readValues(t, c, 0, last)
 	if answer := readAnswer(t, c); !isError(answer, pgwire.CodeCanceled) {
 		t.Errorf("the cancelled command got %.80q", answer)
 	}
-	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.checkNoneInFlight(t)
 }
 
 // TestDrainWritesHeldAnswers checks that a session which is closed because the router drains gets all of its answers
@@ -120,11 +106,7 @@
 		request := requests[len(requests)-1-i]
 		request.Answer(value(request.Command.ID, 2*largestValue))
 	}
-	for id := range requests {
-		if answer := readAnswer(t, c); !isValueOf(answer, id) {
-			t.Fatalf("command %d got %.80q", id, answer)
-		}
-	}
+	readValues(t, c, 0, len(requests))
 	if n, err := c.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("after the last answer: %d bytes, %v", n, err)
 	}
@@ -165,7 +147,7 @@
 				t.Fatalf("seed %d: command %d got %.80q", seed, id, answer)
 			}
 		}
-		waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+		s.checkNoneInFlight(t)
 		c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
 		if n, _ := c.Read(make([]byte, 1)); n > 0 {
 			t.Errorf("seed %d: bytes after the last answer", seed)
--- a/internal/frontend/inflight_bytes_test.go
+++ b/internal/frontend/inflight_bytes_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"cairntiller/internal/inflight"
-	"cairntiller/internal/metrics"
 	"cairntiller/internal/pgwire"
 )
 
@@ -20,9 +19,7 @@
 	c, other := s.dial(t), s.dial(t)
 	requests := s.send(t, c, 0, maxPipelined)
 	last := maxPipelined - 1
-	for _, request := range requests[1:last] {
-		request.Answer(value(request.Command.ID, largestValue))
-	}
+	answerAll(requests[1:last], largestValue)
 	requests[last].Answer(value(requests[last].Command.ID, 100)) // is kept, because it is small
 	if inFlight, limit := s.inFlightBytes.Load(), int64(memoryLimit/inFlightMemoryDivisor); inFlight > limit || inFlight < limit/2 {
 		t.Errorf("%d bytes are in flight, the limit is %d", inFlight, limit)
@@ -50,7 +47,7 @@
 	if values < 16 {
 		t.Errorf("%d of %d values were held", values, maxPipelined-1)
 	}
-	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.checkNoneInFlight(t)
 }
 
 // TestSessionOverItsShareStaysOpen guards against closing a session that is over its share because of values that are
@@ -60,15 +57,9 @@
 	s := startServer(t, 16<<20)
 	c := s.dial(t)
 	requests := s.send(t, c, 0, accepted)
-	for _, request := range requests[1:] {
-		request.Answer(value(request.Command.ID, largestValue))
-	}
+	answerAll(requests[1:], largestValue)
 	owner := s.onlySession(t)
-	before := metrics.Value("commands over in-flight limits")
-	writeCommands(t, c, accepted, rejected)
-	waitFor(t, "the commands are rejected", func() bool {
-		return metrics.Value("commands over in-flight limits")-before == rejected || owner.isClosing()
-	})
+	s.sendRejected(t, c, owner, accepted, rejected)
 	requests[0].Fail()
 	for id := range accepted + rejected {
 		if answer := readAnswer(t, c); id >= accepted && !isError(answer, pgwire.CodeRejected) {
@@ -84,9 +75,7 @@
 	c := s.dial(t)
 	requests := s.send(t, c, 0, maxPipelined-1)
 	owner := s.onlySession(t)
-	for _, request := range requests[1:] {
-		request.Answer(value(request.Command.ID, largestValue))
-	}
+	answerAll(requests[1:], largestValue)
 	other := inflight.NewRequest(&pgwire.Command{}, nil, 0, -1, 0)
 	if got := owner.admit(1, other); got != overLimits {
 		t.Errorf("a command over the limit: %v", got)
@@ -96,7 +85,7 @@
 		t.Errorf("a command of another session: %v", got)
 	}
 	c.Close()
-	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.checkNoneInFlight(t)
 	if abandoned := <-s.abandoned; abandoned != requests[0] || len(s.abandoned) > 0 {
 		t.Error("not exactly the unanswered command was abandoned")
 	}
@@ -111,11 +100,7 @@
 	c := s.dial(t)
 	requests := s.send(t, c, 0, maxPipelined)
 	owner := s.onlySession(t)
-	before := metrics.Value("commands over in-flight limits")
-	writeCommands(t, c, maxPipelined, rejected)
-	waitFor(t, "the commands are rejected", func() bool {
-		return metrics.Value("commands over in-flight limits")-before == rejected || owner.isClosing()
-	})
+	s.sendRejected(t, c, owner, maxPipelined, rejected)
 	for _, request := range requests {
 		request.Fail()
 	}
@@ -128,7 +113,7 @@
 			t.Fatalf("command %d got %.80q, want %s", id, answer, want)
 		}
 	}
-	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.checkNoneInFlight(t)
 	s.send(t, c, maxPipelined+rejected, 1)[0].Fail() // the connection stays open
 	readAnswer(t, c)
 }
@@ -143,7 +128,7 @@
 	requests := s.send(t, c, 0, maxPipelined)
 	owner := s.onlySession(t)
 	writeCommands(t, c, maxPipelined, 4000)
-	waitFor(t, "the connection is to be closed", owner.isClosing)
+	eventually(t, "the connection is to be closed", owner.isClosing)
 	if inFlight, limit := s.inFlightBytes.Load(), int64(memoryLimit/inFlightMemoryDivisor); inFlight > limit {
 		t.Errorf("%d bytes are in flight, the limit is %d", inFlight, limit)
 	}
--- a/internal/frontend/wire_test.go
+++ b/internal/frontend/wire_test.go
@@ -50,13 +50,7 @@
 	now := func() int64 { return time.Since(start).Microseconds() + 1 }
 	server := New(now, scriptedHandler{}, Config{GroupNumbers: map[string]int{"look": 0}, TenantNumbers: map[string]int{"acme": 0}, MaxConnections: 32,
 		MemoryLimit: 32 << 20})
-	server.SetReady()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go server.Serve(ln)
-	c, err := net.Dial("tcp", ln.Addr().String())
+	c, err := net.Dial("tcp", serveOnLoopback(t, server))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/frontend/written_answers_test.go
+++ b/internal/frontend/written_answers_test.go
@@ -24,7 +24,7 @@
 			readAnswer(t, c)
 		}
 	}()
-	waitFor(t, "no bytes in flight", func() bool { return s.inFlightBytes.Load() == 0 })
+	s.checkNoneInFlight(t)
 	kept := 0
 	for range 10 {
 		runtime.GC()
