--- a/internal/frontend/held_answers_test.go
+++ b/internal/frontend/held_answers_test.go
@@ -40,9 +40,8 @@
 	closedBefore := metrics.Value(counter)
 	owner := s.onlySession(t)
 	eventually(t, "the connection is closed", func() bool {
-		if owner.noRoomSince.Load() > 0 {
+		if owner.noRoomSince.Load() > 0 { // the server's own sweep finds it
 			s.ahead.Add(slowReaderTimeout + 1)
-			s.sweep()
 		}
 		return len(s.allSessions()) == 0
 	})
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -98,6 +98,7 @@
 	var idle []*session
 	for _, c := range s.allSessions() {
 		if c.readsTooSlowly(now) {
+			c.noRoomSince.Store(0)
 			c.stream.CloseSlowReader()
 		} else if c.pastFirstCommandTimeout(now) {
 			timedOutConnections.Add()
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -46,14 +46,9 @@
 // CloseSlowReader closes the connection of a peer that does not read what is written to it. Queued bytes are dropped.
 func (s *Stream) CloseSlowReader() {
 	s.mu.Lock()
-	counted := s.closedAsSlow
-	s.closedAsSlow = true
 	s.closing = true
 	queued := s.queuedBytes
 	s.mu.Unlock()
-	if counted {
-		return
-	}
 	slowReaders.Add()
 	slog.Debug("connection closed: the peer reads too slowly", "peer", s.conn.RemoteAddr(), "queued_bytes", queued)
 	go s.Close() // Close calls the owner, which may be waiting for this call to return
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -62,14 +62,13 @@
 	conn netpoll.Connection
 	fd   int // -1 if the library has none; system calls on it fail
 
-	mu           sync.Mutex
-	queue        []queuedWrite
-	queuedBytes  int  // in queue and in what is being written
-	writing      bool // writeQueued is running
-	closing      bool // no more writes are accepted; the write side is shut down once the queue is empty
-	closed       bool // fd may have been reused for another connection
-	closedAsSlow bool // by CloseSlowReader
-	peekBuffer   [1]byte
+	mu          sync.Mutex
+	queue       []queuedWrite
+	queuedBytes int  // in queue and in what is being written
+	writing     bool // writeQueued is running
+	closing     bool // no more writes are accepted; the write side is shut down once the queue is empty
+	closed      bool // fd may have been reused for another connection
+	peekBuffer  [1]byte
 }
 
 type queuedWrite struct {
