--- a/internal/testcluster/cluster/cluster.go
+++ b/internal/testcluster/cluster/cluster.go
@@ -23,26 +23,55 @@
 )
 
 const (
-	drainGrace     = 2_000_000            // us after the start of a drain from which on a node must not receive commands
-	workPerCommand = 2 * time.Millisecond // time for which a command occupies a core of a node
-	coresPerNode   = 4
-	startTimeout   = 10 * time.Second       // until a router must be ready
-	stopTimeout    = 3 * time.Second        // until a router must have shut down after SIGTERM
-	clientTimeout  = 900 * time.Millisecond // of clients, per command
+	drainGrace    = 2_000_000              // us after the start of a drain from which on a node must not receive commands
+	startTimeout  = 10 * time.Second       // until a router must be ready
+	stopTimeout   = 3 * time.Second        // until a router must have shut down after SIGTERM
+	clientTimeout = 900 * time.Millisecond // of clients, per command
 )
 
+// Config describes a cluster. Zero values stand for the defaults in the comments.
+type Config struct {
+	Seed           uint64
+	Shards         int           // no default
+	NodesPerShard  int           // no default
+	CoresPerNode   int           // 4
+	WorkPerCommand time.Duration // time for which a command occupies a core of a node; 2 ms
+	RouterMemoryMB int           // memory limit in the routers' configuration; 192
+	RouterProgram  string        // executable of the routers; this program's executable
+}
+
+func (c Config) withDefaults() Config {
+	if c.CoresPerNode == 0 {
+		c.CoresPerNode = 4
+	}
+	if c.WorkPerCommand == 0 {
+		c.WorkPerCommand = 2 * time.Millisecond
+	}
+	if c.RouterMemoryMB == 0 {
+		c.RouterMemoryMB = 192
+	}
+	return c
+}
+
 // Cluster holds the nodes, their service discovery and the routers in front of them.
 type Cluster struct {
 	Database  *database.Cluster
 	Discovery *discovery.Server
 	Folder    string // holds the routers' files; Close removes it
+	config    Config
 	routers   []*Router
 }
 
 // New starts a cluster without routers. It has the given number of shards and of nodes per shard; the first node of each shard
 // is its primary.
 func New(seed uint64, shards, nodesPerShard int) (*Cluster, error) {
-	c := &Cluster{Database: database.New(seed, drainGrace)}
+	return NewFromConfig(Config{Seed: seed, Shards: shards, NodesPerShard: nodesPerShard})
+}
+
+// NewFromConfig starts a cluster without routers. The first node of each shard is its primary.
+func NewFromConfig(config Config) (*Cluster, error) {
+	config = config.withDefaults()
+	c := &Cluster{Database: database.New(config.Seed, drainGrace), config: config}
 	var err error
 	if c.Discovery, err = discovery.Start(); err != nil {
 		return nil, err
@@ -50,10 +79,10 @@
 	if c.Folder, err = os.MkdirTemp("", "cluster"); err != nil {
 		return nil, err
 	}
-	for shard := range shards {
-		for i := range nodesPerShard {
+	for shard := range config.Shards {
+		for i := range config.NodesPerShard {
 			zone := "abc"[i%3 : i%3+1]
-			node, err := c.Database.AddNode(fmt.Sprintf("s-%d%c", shard, 'a'+i), zone, shard, coresPerNode, workPerCommand)
+			node, err := c.Database.AddNode(fmt.Sprintf("s-%d%c", shard, 'a'+i), zone, shard, config.CoresPerNode, config.WorkPerCommand)
 			if err != nil {
 				return nil, errors.Join(err, c.Close())
 			}
@@ -106,7 +135,7 @@
 func (c *Cluster) configuration(name, listen string, siblings int) ([]byte, error) {
 	type object map[string]any
 	return json.Marshal(object{"name": name, "listen": listen, "discovery": c.Discovery.Address(), "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"limits": object{"cores": 1, "memory_mb": c.config.RouterMemoryMB, "sockets": 1024},
 		"settings": object{"az": "a", "siblings": siblings, "round": 5,
 			"classes": []commandClass{{ClassReadAny, "safe", 400, 1000, 1}, {ClassReadOwn, "safe", 400, 1000, 1}, {ClassWrite, "unsafe", 400, 1000, 1}},
 			"domain":  object{"readLevel": []string{"any", "session", "write"}, "oldestData": []int{0, 0, 0}, "writeMarks": "kept"},
--- a/internal/testcluster/cluster/router.go
+++ b/internal/testcluster/cluster/router.go
@@ -24,6 +24,9 @@
 // errNoCPUTime reports that /proc/PID/stat has too few fields to contain CPU times.
 var errNoCPUTime = errors.New("no CPU times in /proc/PID/stat")
 
+// errNoPeakMemory reports that /proc/PID/status has no line with the peak resident set size.
+var errNoPeakMemory = errors.New("no VmHWM in /proc/PID/status")
+
 // Router is a router that runs as a process of its own and can be restarted.
 type Router struct {
 	Name, Address string
@@ -76,13 +79,16 @@
 	return r.waitUntilReady(started)
 }
 
-// startProcess starts this program's executable as the router.
+// startProcess starts the router's program.
 func (r *Router) startProcess() (*process, error) {
-	executable, err := os.Executable()
-	if err != nil {
-		return nil, err
+	program := r.cluster.config.RouterProgram
+	if program == "" {
+		var err error
+		if program, err = os.Executable(); err != nil {
+			return nil, err
+		}
 	}
-	cmd := exec.Command(executable, r.args...)
+	cmd := exec.Command(program, r.args...)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(r.cluster.Folder, r.Name+".json"))
 	cmd.Stderr = r.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also kills a process that is stopped by SIGSTOP when this one exits
@@ -171,6 +177,22 @@
 	return client.New(r.Address, key, clientTimeout)
 }
 
+// PeakMemory returns the largest resident set size of the process so far, in bytes.
+func (r *Router) PeakMemory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.current().cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+			var kilobytes int64
+			_, err := fmt.Sscan(value, &kilobytes)
+			return kilobytes << 10, err
+		}
+	}
+	return 0, errNoPeakMemory
+}
+
 // CPUTime returns the user and system CPU time that the process has used.
 func (r *Router) CPUTime() (time.Duration, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.current().cmd.Process.Pid))
--- a/internal/testcluster/database/cluster.go
+++ b/internal/testcluster/database/cluster.go
@@ -32,9 +32,10 @@
 	random     *rand.Rand
 	shards     map[int]*shard
 	nodes      []*Node
-	executions map[string]int // number of executions of each mutating command, by id
-	violations []string       // descriptions of broken rules, as observed by the nodes
-	drainGrace int64          // us after the start of a drain from which on a node must not receive commands
+	executions map[string]int   // number of executions of each mutating command, by id
+	arrivals   map[string]int64 // us: when each mutating command last arrived at a node, by id
+	violations []string         // descriptions of broken rules, as observed by the nodes
+	drainGrace int64            // us after the start of a drain from which on a node must not receive commands
 }
 
 // shard is one group of nodes that replicate one log.
@@ -56,7 +57,7 @@
 	startTime := time.Now()
 	startMicros := startTime.UnixMicro()
 	return &Cluster{now: func() int64 { return startMicros + time.Since(startTime).Microseconds() },
-		random: rand.New(rand.NewPCG(seed, 2)), shards: map[int]*shard{}, executions: map[string]int{}, drainGrace: drainGrace}
+		random: rand.New(rand.NewPCG(seed, 2)), shards: map[int]*shard{}, executions: map[string]int{}, arrivals: map[string]int64{}, drainGrace: drainGrace}
 }
 
 // AddNode starts a node. The first node of a shard is its primary. Each command occupies one of the node's cores for
@@ -102,6 +103,13 @@
 	return c.executions[id]
 }
 
+// LastArrival returns when a mutating command last arrived at a node, in us of the cluster's clock; 0 if it never did.
+func (c *Cluster) LastArrival(id string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrivals[id]
+}
+
 // Violations returns a description of each rule violation that the nodes observed.
 func (c *Cluster) Violations() []string {
 	c.mu.Lock()
--- a/internal/testcluster/database/protocol.go
+++ b/internal/testcluster/database/protocol.go
@@ -85,7 +85,7 @@
 		n.cluster.recordViolation("node %s received a statement that can't be decoded: %v", n.Name, err)
 		return pgwire.AppendError(nil, false, pgwire.CodeProtocolViolation, "unreadable", 0), true
 	}
-	work, queued, rejection := n.enqueue(cmd)
+	work, queued, rejection := n.enqueue(cmd, isWrite(statement))
 	if !queued {
 		return rejection, rejection != nil
 	}
@@ -114,11 +114,14 @@
 
 // enqueue admits a command and returns its processing time. If the command isn't queued, rejection is the reply to it, nil if
 // the node sends none.
-func (n *Node) enqueue(cmd *pgwire.Command) (work time.Duration, queued bool, rejection []byte) {
+func (n *Node) enqueue(cmd *pgwire.Command, isWrite bool) (work time.Duration, queued bool, rejection []byte) {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	now := n.cluster.now()
 	n.commandCount++
+	if isWrite {
+		n.cluster.arrivals[cmd.ID] = now
+	}
 	if n.drainingSince > 0 && now > n.drainingSince+n.cluster.drainGrace {
 		n.cluster.recordViolation("node %s received command %s %d us after the start of its drain", n.Name, cmd.ID, now-n.drainingSince)
 	}
@@ -146,9 +149,8 @@
 // execute executes a command, an INSERT or a SELECT of the session's row, and returns the reply. The caller holds the lock.
 func (n *Node) execute(cmd *pgwire.Command, statement string) ([]byte, bool) {
 	s := n.cluster.shards[n.Shard]
-	_, text, _ := strings.Cut(statement, "*/")
 	pos := n.appliedPosition()
-	if text = strings.TrimSpace(text); !strings.HasPrefix(text, "INSERT") {
+	if !isWrite(statement) {
 		value := "none"
 		for _, entry := range s.log[cmd.Session] {
 			if entry.position <= pos {
@@ -163,13 +165,19 @@
 	if n.cluster.executions[cmd.ID]++; n.cluster.executions[cmd.ID] > 1 {
 		n.cluster.recordViolation("command %s was executed %d times", cmd.ID, n.cluster.executions[cmd.ID])
 	}
-	value := lastQuotedText(text)
+	value := lastQuotedText(statement)
 	pos = max(pos, n.cluster.now())
 	s.position = max(s.position, pos)
 	s.log[cmd.Session] = append(s.log[cmd.Session], write{pos, value})
 	return n.appendStatus(encodeRow(value, "INSERT 0 1"), true, pos), true
 }
 
+// isWrite reports whether a statement is an INSERT, behind its leading comment.
+func isWrite(statement string) bool {
+	_, text, _ := strings.Cut(statement, "*/")
+	return strings.HasPrefix(strings.TrimSpace(text), "INSERT")
+}
+
 // lastQuotedText returns the last text in single quotes in a statement, "" if there is none.
 func lastQuotedText(statement string) string {
 	end := strings.LastIndexByte(statement, '\'')
