Log why client connections are closed, why commands fail, and what holds the memory

Change: records at a limited rate (eventlog, golang.org/x/time/rate) for each connection that the router ends because of its client, with reason, age, bytes, messages, commands and time spent on its input; for each command that fails or is rejected, with its id, attempts, last node and outcome; a warning each second while the runtime's memory is over three quarters of the limit, with what connections hold and which holds the most. New counters: most client connections, most bytes in flight and of incomplete messages, most memory of the runtime, most events in the queue.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	lateTimers       = metrics.New("timers late by 5 ms or more")
 	maxTimerDelay    = metrics.New("longest timer delay, us")
 	maxEventWaitTime = metrics.New("longest event wait, us")
+	mostQueuedEvents = metrics.New("most events in the queue")
 )
 
 // lateTimerThreshold is the delay, in us, from which a timer counts as late. A shortage of CPU cores shows in that
@@ -91,6 +92,7 @@
 		if stopped {
 			return
 		}
+		mostQueuedEvents.RaiseTo(int64(len(events)))
 		for _, ev := range events {
 			maxEventWaitTime.RaiseTo(e.now() - ev.at)
 			e.handle(ev)
--- /dev/null
+++ b/internal/engine/request_log.go
@@ -0,0 +1,43 @@
+package engine
+
+import (
+	"cairntiller/internal/eventlog"
+	"cairntiller/internal/inflight"
+)
+
+var (
+	failedLog   = eventlog.New("command failed")
+	rejectedLog = eventlog.New("command rejected")
+)
+
+// reasons of commands that never reached the routing module.
+const (
+	reasonDuplicateID = "an id that is in flight"
+	reasonRouting     = "routing"
+)
+
+// logConcluded logs a command that ended without a value: how it was tried and how its last attempt ended.
+func (e *Engine) logConcluded(log *eventlog.Log, request *inflight.Request, reason string, now int64) {
+	if !log.Allow() {
+		return
+	}
+	lastNode, lastOutcome := "", ""
+	if attempts := request.Attempts; len(attempts) > 0 {
+		last := attempts[len(attempts)-1]
+		lastNode = last.Node
+		lastOutcome = "in flight"
+		if last.Ended {
+			lastOutcome = last.Outcome.String()
+		}
+	}
+	log.Info(
+		"id", request.Command.ID,
+		"class", request.Command.Group,
+		"shard", request.Command.Shard,
+		"reason", reason,
+		"age_ms", (now-request.ArrivedAt())/1000,
+		"attempts", len(request.Attempts),
+		"last_node", lastNode,
+		"last_outcome", lastOutcome,
+	)
+}
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -38,6 +38,7 @@
 	if e.requests[command.ID] != nil {
 		duplicateIDs.Add()
 		request.Fail()
+		e.logConcluded(failedLog, request, reasonDuplicateID, now)
 		e.unanswered.add(-1)
 		return
 	}
@@ -75,6 +76,7 @@
 	if !request.EndAttempt(attempt) {
 		return
 	}
+	attempt.Outcome = outcome
 	attemptOutcomes[outcome].Add()
 	e.services.attemptEnded(attempt, outcome, now)
 	elapsed := now - attempt.StartedAt
--- a/internal/frontend/commands.go
+++ b/internal/frontend/commands.go
@@ -94,6 +94,7 @@
 	if len(c.answers) >= maxPipelined || c.overInFlightLimit() {
 		return overLimits
 	}
+	c.usage.commands.Add(1)
 	c.setPhase(phaseBusy)
 	c.addInFlight(request.Command.Size())
 	c.answers = append(c.answers, &answer{request: request, arrivedAt: at})
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -94,7 +94,7 @@
 func (c *session) evict() {
 	switch c.currentPhase() {
 	case phaseNew:
-		c.sendFatalError(pgwire.CodeRejected, "too many connections")
+		c.sendFatalError(endedEvicted, pgwire.CodeRejected, "too many connections")
 	case phaseIdle:
 		c.closeIfAllAnswered()
 	}
--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -71,7 +71,7 @@
 	requests := s.send(t, reading, 0, maxPipelined)
 	owner := s.onlySession(t)
 	answerAll(requests, 2*largestValue)
-	owner.sendFatalError(pgwire.CodeIdleTimeout, "the last answer")
+	owner.sendFatalError(endedTimedOut, pgwire.CodeIdleTimeout, "the last answer")
 	for waitUntilBlocked(owner); owner.currentPhase() != phaseClosing; waitUntilBlocked(owner) {
 		readAnswer(t, reading) // until the rest is queued on the connection
 	}
@@ -81,7 +81,7 @@
 	s.dial(t)
 	for _, c := range s.allSessions() {
 		if c != owner {
-			c.sendFatalError(pgwire.CodeIdleTimeout, "written at once")
+			c.sendFatalError(endedTimedOut, pgwire.CodeIdleTimeout, "written at once")
 			eventually(t, "the last error is written", c.stream.WriteSideClosed)
 		}
 	}
--- a/internal/frontend/inflight_bytes.go
+++ b/internal/frontend/inflight_bytes.go
@@ -16,7 +16,7 @@
 // addInFlight adds to the bytes in flight, or subtracts from them.
 func (c *session) addInFlight(bytes int) {
 	c.inFlightBytes.Add(int64(bytes))
-	c.server.inFlightBytes.Add(int64(bytes))
+	mostInFlightBytes.RaiseTo(c.server.inFlightBytes.Add(int64(bytes)))
 }
 
 // overInFlightLimit reports whether the session may not have another command in flight.
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -99,11 +99,12 @@
 	for _, c := range s.allSessions() {
 		if c.readsTooSlowly(now) {
 			c.noRoomSince.Store(0)
+			c.setEndReason(endedSlowReader)
 			c.stream.CloseSlowReader()
 		} else if c.pastFirstCommandTimeout(now) {
 			timedOutConnections.Add()
 			c.partialSince.Store(0)
-			c.sendFatalError(pgwire.CodeIdleTimeout, "nothing whole came in time")
+			c.sendFatalError(endedTimedOut, pgwire.CodeIdleTimeout, "nothing whole came in time")
 		} else if c.currentPhase() == phaseIdle && now-c.phaseSince.Load() > idleTimeout {
 			idle = append(idle, c)
 		}
@@ -139,6 +140,7 @@
 func (c *session) recordPartial(at, bytes int64) {
 	s := c.server
 	total := s.partialBytes.Add(bytes - c.partialBytes)
+	mostPartialBytes.RaiseTo(total)
 	c.partialBytes = bytes
 	if bytes == 0 {
 		c.partialSince.Store(0)
@@ -147,7 +149,7 @@
 	c.partialSince.CompareAndSwap(0, at)
 	if total > s.limits.partialBytes && bytes > s.limits.equalShare(s.limits.partialBytes) {
 		connectionsOverLimit.Add()
-		c.sendFatalError(pgwire.CodeRejected, "too much in hand")
+		c.sendFatalError(endedTooMuchPartial, pgwire.CodeRejected, "too much in hand")
 		c.recordPartial(at, 0)
 	}
 }
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -17,5 +17,8 @@
 	readsAfterClose       = metrics.New("reads after close")
 	cancelledCommands     = metrics.New("commands cancelled")
 	cancelsWithoutCommand = metrics.New("cancels without a command")
+	mostSessions          = metrics.New("most client connections")
+	mostInFlightBytes     = metrics.New("most bytes in flight")
+	mostPartialBytes      = metrics.New("most bytes of incomplete messages")
 	commandsWhileDraining = metrics.New("commands while draining")
 )
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -95,6 +95,7 @@
 	c.number = s.lastNumber
 	choice := s.chooseEviction()
 	s.sessions[c.number] = c
+	mostSessions.RaiseTo(int64(len(s.sessions)))
 	s.mu.Unlock()
 	if choice.closeLingering != nil {
 		choice.closeLingering.stream.Close()
@@ -106,7 +107,7 @@
 	c.start()
 	if choice.rejectNew {
 		connectionsOverLimit.Add()
-		c.sendFatalError(pgwire.CodeRejected, "too many connections")
+		c.sendFatalError(endedNoPlace, pgwire.CodeRejected, "too many connections")
 	}
 }
 
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -36,6 +36,10 @@
 
 	inFlightBytes atomic.Int64 // of commands without an answer, and of answers that the kernel has not accepted
 
+	acceptedAt int64                     // us
+	usage      usage                     // what the session has cost
+	endReason  atomic.Pointer[endReason] // why the router ends the session; nil if the client does
+
 	// Used only on the reader's goroutine.
 	frames          *pgwire.FrameDecoder // nil once input is discarded
 	started         bool                 // the startup message has been handled
@@ -48,7 +52,12 @@
 }
 
 func newSession(s *Server, conn netpoll.Connection) *session {
-	c := &session{server: s, frames: pgwire.NewFrameDecoder(maxStartupBytes, true), stream: stream.New(conn)}
+	c := &session{
+		server:     s,
+		acceptedAt: s.now(),
+		frames:     pgwire.NewFrameDecoder(maxStartupBytes, true),
+		stream:     stream.New(conn),
+	}
 	var secret [4]byte
 	rand.Read(secret[:])
 	c.secret = binary.BigEndian.Uint32(secret[:])
@@ -80,6 +89,8 @@
 // socket with unread bytes sends a reset, which could destroy the last answer before the client reads it.
 func (c *session) receive(p []byte) {
 	at := c.server.now()
+	c.usage.bytes.Add(int64(len(p)))
+	defer func() { c.usage.handling.Add(c.server.now() - at) }()
 	if !c.isClosing() {
 		c.frames.Feed(p)
 	}
@@ -87,13 +98,14 @@
 		frame, complete, err := c.frames.Next()
 		if err != nil {
 			malformedStreams.Add()
-			c.sendFatalError(pgwire.CodeProtocolViolation, err.Error())
+			c.sendFatalError(endedMalformed, pgwire.CodeProtocolViolation, err.Error())
 			break
 		}
 		if !complete {
 			c.recordPartial(at, int64(c.frames.Buffered()))
 			return
 		}
+		c.usage.messages.Add(1)
 		c.partialSince.Store(0)
 		if c.started {
 			c.handleMessage(at, frame)
@@ -125,7 +137,7 @@
 		c.stream.Write(pgwire.AppendStartupResponse(nil, opening == pgwire.StartupMessageNewer, c.number, c.secret), nil)
 	default:
 		malformedStreams.Add()
-		c.sendFatalError(pgwire.CodeUnsupported, "unsupported frontend protocol")
+		c.sendFatalError(endedMalformed, pgwire.CodeUnsupported, "unsupported frontend protocol")
 	}
 }
 
@@ -136,7 +148,7 @@
 		statement, ok := pgwire.DecodeQuery(frame)
 		if !ok {
 			malformedStreams.Add()
-			c.sendFatalError(pgwire.CodeProtocolViolation, "invalid string in message")
+			c.sendFatalError(endedMalformed, pgwire.CodeProtocolViolation, "invalid string in message")
 			return
 		}
 		c.handleQuery(at, statement)
@@ -152,7 +164,7 @@
 		c.queue(pgwire.AppendReadyForQuery(nil))
 	default:
 		malformedStreams.Add()
-		c.sendFatalError(pgwire.CodeProtocolViolation, "invalid frontend message type")
+		c.sendFatalError(endedMalformed, pgwire.CodeProtocolViolation, "invalid frontend message type")
 	}
 }
 
@@ -160,6 +172,7 @@
 func (c *session) handleStreamEnd() {
 	at := c.server.now()
 	c.server.removeSession(c.number)
+	c.logEnd(at)
 	c.recordPartial(at, 0)
 	c.abandonAnswers(at)
 }
--- /dev/null
+++ b/internal/frontend/usage.go
@@ -0,0 +1,28 @@
+package frontend
+
+// MemoryOwners returns, as attributes for a log record, what client connections hold in memory, and which of them holds
+// the most.
+func (s *Server) MemoryOwners() []any {
+	all := s.allSessions()
+	attributes := []any{
+		"client_connections", len(all),
+		"bytes_in_flight", s.inFlightBytes.Load(),
+		"bytes_of_incomplete_messages", s.partialBytes.Load(),
+	}
+	var largest *session
+	for _, c := range all {
+		if largest == nil || c.inFlightBytes.Load() > largest.inFlightBytes.Load() {
+			largest = c
+		}
+	}
+	if largest == nil {
+		return attributes
+	}
+	return append(attributes,
+		"largest_session", largest.number,
+		"largest_peer", largest.stream.PeerAddress(),
+		"largest_bytes_in_flight", largest.inFlightBytes.Load(),
+		"largest_messages", largest.usage.messages.Load(),
+		"largest_handling_us", largest.usage.handling.Load(),
+	)
+}
--- a/internal/inflight/attempt.go
+++ b/internal/inflight/attempt.go
@@ -1,5 +1,7 @@
 package inflight
 
+import "cairntiller/internal/routing"
+
 // Attempt is one execution of a request at a node.
 type Attempt struct {
 	Request     *Request
@@ -10,6 +12,7 @@
 	LatestStart int64 // us: latest time at which it may be sent
 	Abandoned   bool  // the router has stopped waiting for it
 	Ended       bool
+	Outcome     routing.Outcome // valid once it has ended
 }
 
 // MayStart reports whether an attempt that has obtained a connection may still be sent: its latest start has not
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -42,6 +42,7 @@
 	frontend             *frontend.Server
 	services             *clusterServices
 	rollouts             *rolloutRouter
+	memoryLimit          int64 // bytes
 	longestClientTimeout int64 // us
 
 	discoveryAddresses chan string // new addresses of discovery
@@ -129,6 +130,7 @@
 		}),
 		services:             services,
 		rollouts:             rollouts,
+		memoryLimit:          limits.memory,
 		longestClientTimeout: catalog.LongestClientTimeout,
 		discoveryAddresses:   make(chan string, 1),
 		listenFailed:         make(chan error, 1),
@@ -151,6 +153,7 @@
 	}
 	go discovery.Follow(ctx, discoveryAddress, discovery.UnknownVersion, r.discoveryAddresses, onList)
 	go func() { r.listenFailed <- r.frontend.Serve(ln) }()
+	go memoryWatch{limit: r.memoryLimit, owners: r.frontend.MemoryOwners}.run(ctx)
 }
 
 // applyList applies an endpoint list; the first one makes the router ready. It runs on the engine's goroutine.
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -121,6 +121,9 @@
 	}
 }
 
+// PeerAddress returns the peer's address, for logs.
+func (s *Stream) PeerAddress() string { return s.conn.RemoteAddr().String() }
+
 // Idle reports whether the connection is open and nothing unread has arrived: neither bytes nor the end of the peer's
 // stream.
 func (s *Stream) Idle() bool {
