Read a connection only as fast as its input is handled

Cause: the network library reads each connection until the kernel has nothing left, whether or not what it read before has been handled, into a buffer without a limit; the handler then gets all of it as one piece. The library has no threshold and no way to pause a connection.

Change: package stream stands on the standard library. A goroutine for each connection reads up to 16 KiB once the owner has handled the piece before; the rest stays in the kernel, whose window makes the peer wait. Queued writes go out up to 64 KiB a call and count 128 bytes each in the queue besides their bytes. How much of a write the kernel took is now counted, not guessed from the error.

--- a/internal/engine/client_limits_test.go
+++ b/internal/engine/client_limits_test.go
@@ -146,8 +146,7 @@
 			break // the router stopped reading after its lingering close
 		}
 	}
-	// netpoll returns the buffers that it has read to its pools, which are only emptied by the second collection. Their
-	// size depends on how late the reader gets a core: 25 MB at a delay of 15 ms, none of it retained.
+	// Pools of buffers are only emptied by the second collection.
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/engine/router_harness_test.go
+++ b/internal/engine/router_harness_test.go
@@ -43,7 +43,7 @@
 	e.Attach(r, pool)
 	front := frontend.New(now, e, frontend.Config{GroupNumbers: catalog.GroupNumbers, TenantNumbers: catalog.TenantNumbers, MaxConnections: maxConnections,
 		MemoryLimit: 32 << 20})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -47,7 +47,7 @@
 // serveOnLoopback lets a server accept commands and returns its address.
 func serveOnLoopback(t *testing.T, s *Server) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -5,6 +5,7 @@
 // Counters, in the order in which they are printed.
 var (
 	acceptedConnections   = metrics.New("client connections")
+	failedAccepts         = metrics.New("client connections not accepted")
 	evictedConnections    = metrics.New("client connections evicted")
 	connectionsOverLimit  = metrics.New("client connections over limit")
 	commandsOverLimits    = metrics.New("commands over in-flight limits")
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -1,18 +1,22 @@
 package frontend
 
 import (
-	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
+	"cairntiller/internal/eventlog"
 	"cairntiller/internal/inflight"
 	"cairntiller/internal/pgwire"
 )
 
+// acceptRetryInterval is the pause after a connection could not be accepted.
+const acceptRetryInterval = 5 * time.Millisecond
+
+var acceptLog = eventlog.New("accepting a client connection failed")
+
 // Server accepts client connections. Its methods may be called from any goroutine.
 type Server struct {
 	now           func() int64 // the router's clock, us
@@ -54,21 +58,26 @@
 // SetReady starts accepting commands. Before, they are rejected because the router is starting up.
 func (s *Server) SetReady() { s.ready.Store(true) }
 
-// Serve accepts connections. It returns only on failure.
-func (s *Server) Serve(ln net.Listener) error {
-	accept := func(c netpoll.Connection) context.Context {
-		s.accept(c)
-		return context.Background()
-	}
-	ignoreRequest := func(context.Context, netpoll.Connection) error { return nil } // sessions do their own reading
-	loop, err := netpoll.NewEventLoop(ignoreRequest, netpoll.WithOnPrepare(accept))
-	if err != nil {
-		return err
-	}
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ln *net.TCPListener) error {
 	ended := make(chan struct{})
 	defer close(ended)
 	go s.sweepUntil(ended)
-	return loop.Serve(ln)
+	for {
+		conn, err := ln.AcceptTCP()
+		switch {
+		case err == nil:
+			s.accept(conn)
+		case errors.Is(err, net.ErrClosed):
+			return err
+		default: // no descriptor is left, or the client has gone already
+			failedAccepts.Add()
+			if acceptLog.Allow() {
+				acceptLog.Info("err", err)
+			}
+			time.Sleep(acceptRetryInterval)
+		}
+	}
 }
 
 // sweepUntil calls sweep at intervals until ended is closed.
@@ -87,9 +96,9 @@
 
 // accept handles a new connection. If the session limit is reached, it evicts another session; if none may be evicted,
 // the new connection is rejected.
-func (s *Server) accept(nc netpoll.Connection) {
+func (s *Server) accept(conn *net.TCPConn) {
 	acceptedConnections.Add()
-	c := newSession(s, nc)
+	c := newSession(s, conn)
 	s.mu.Lock()
 	s.lastNumber++
 	c.number = s.lastNumber
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -3,11 +3,10 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"net"
 	"sync"
 	"sync/atomic"
 
-	"github.com/cloudwego/netpoll"
-
 	"cairntiller/internal/pgwire"
 	"cairntiller/internal/stream"
 )
@@ -51,7 +50,7 @@
 	closing bool      // no more commands are accepted, and the session closes after the queued answers; never reset
 }
 
-func newSession(s *Server, conn netpoll.Connection) *session {
+func newSession(s *Server, conn *net.TCPConn) *session {
 	c := &session{
 		server:     s,
 		acceptedAt: s.now(),
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -20,7 +20,6 @@
 	"cairntiller/internal/metrics"
 	"cairntiller/internal/routing"
 	"cairntiller/internal/settings"
-	"cairntiller/internal/stream"
 )
 
 // knownListDelay, in us, is how long the router waits for discovery's list before it applies the older list in its
@@ -67,16 +66,17 @@
 		return err
 	}
 	limits := applyLimits(platform)
-	if err := stream.ConfigureLibrary(slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn).Writer()); err != nil {
-		return err
-	}
 	r, err := newRouter(platform, loaded.settings, limits, options, startedAt, hooks)
 	if err != nil {
 		return err
 	}
 	r.operatorFile = operatorFile
 	r.config = loaded.platform
-	ln, err := net.Listen("tcp", platform.Listen)
+	address, err := net.ResolveTCPAddr("tcp", platform.Listen)
+	if err != nil {
+		return err
+	}
+	ln, err := net.ListenTCP("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -138,7 +138,7 @@
 }
 
 // start starts the engine, the discovery watch and the listener. known is the configuration's endpoint list, nil for none.
-func (r *router) start(ctx context.Context, ln net.Listener, discoveryAddress string, known *discovery.EndpointList) {
+func (r *router) start(ctx context.Context, ln *net.TCPListener, discoveryAddress string, known *discovery.EndpointList) {
 	r.engine.Post(r.now(), r.routing.Start)
 	if known != nil {
 		r.engine.After(knownListDelay, func(now int64) {
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"syscall"
 	"time"
 )
 
@@ -26,8 +25,9 @@
 	if s.closed {
 		return
 	}
-	s.shutdownWrite()
+	s.conn.CloseWrite()
 	s.setReceiveBuffer(closingReceiveBuffer)
+	s.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reader once; see Events.Received
 	time.AfterFunc(lingerTimeout, s.Close)
 }
 
@@ -37,10 +37,10 @@
 	s.mu.Lock()
 	s.closing = true
 	if !s.closed {
-		s.shutdownWrite()
+		s.conn.CloseWrite()
 	}
 	s.mu.Unlock()
-	go s.Close() // Close may wait for a running callback
+	s.Close()
 }
 
 // CloseSlowReader closes the connection of a peer that does not read what is written to it. Queued bytes are dropped.
@@ -51,11 +51,20 @@
 	s.mu.Unlock()
 	slowReaders.Add()
 	slog.Debug("connection closed: the peer reads too slowly", "peer", s.conn.RemoteAddr(), "queued_bytes", queued)
-	go s.Close() // Close calls the owner, which may be waiting for this call to return
+	s.Close()
 }
 
 // Close closes the connection at once.
-func (s *Stream) Close() { s.conn.Close() }
+func (s *Stream) Close() {
+	s.mu.Lock()
+	s.closing = true
+	closed := s.closed
+	s.closed = true
+	s.mu.Unlock()
+	if !closed {
+		s.conn.Close()
+	}
+}
 
 // WriteSideClosed reports whether nothing more will be sent: the stream is closing and all queued bytes are written, or
 // the connection is closed.
@@ -64,5 +73,3 @@
 	defer s.mu.Unlock()
 	return s.closed || s.closing && !s.writing
 }
-
-func (s *Stream) shutdownWrite() { syscall.Shutdown(s.fd, syscall.SHUT_WR) }
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -1,5 +1,9 @@
-// Package stream wraps one connection of the network library: it writes in order without blocking the caller, passes on
-// received bytes as they arrive, and reports the end of the connection once.
+// Package stream wraps one TCP connection: it writes in order without blocking the caller, passes on received bytes as
+// they arrive, and reports the end of the connection once.
+//
+// Input is read a piece at a time, and the next piece only once the owner has handled the one before. What the owner has
+// not taken stays in the kernel, whose receive buffer is limited, so that a peer can't send faster than its input is
+// handled.
 //
 // A stream accepts writes until it is closing:
 //
@@ -15,15 +19,12 @@
 package stream
 
 import (
-	"context"
 	"errors"
-	"io"
+	"net"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"cairntiller/internal/metrics"
 )
 
@@ -36,8 +37,7 @@
 	lingerTimeout = time.Second
 	// maxQueuedBytes limits the bytes that wait to be accepted by the kernel: 16 answers with values of 64 KiB.
 	maxQueuedBytes = 1 << 20
-	// receiveBuffer is the size of the kernel's receive buffer, which the kernel doubles. The library reads all of it
-	// at once, into a buffer that grows with what a peer sends at full speed.
+	// receiveBuffer is the size of the kernel's receive buffer, which the kernel doubles.
 	receiveBuffer = 1 << 16
 	// closingReceiveBuffer is the same after the write side was shut down, when received bytes are only discarded.
 	closingReceiveBuffer = 1 << 12
@@ -51,110 +51,67 @@
 // ErrUnwritten is the error of a write of which certainly no byte reached the peer's machine.
 var ErrUnwritten = errors.New("nothing was written")
 
-// Events holds the callbacks of a stream's owner. They are called on a goroutine of the library.
+// Events holds the callbacks of a stream's owner. They are called on the stream's own goroutine, one at a time.
 type Events struct {
-	Received func(p []byte) // p is valid only until Received returns
-	Closed   func()         // called once, whichever side ended the connection
+	// Admit is called when input has arrived; it calls read, which passes a piece of it to Received. It may block before
+	// that. If Admit is nil, input is read as soon as it arrives.
+	Admit func(read func())
+	// Received is called with the bytes read, which are valid until it returns. Once the write side has been shut down it
+	// is called with none, so that the owner can release what it keeps of earlier input.
+	Received func(p []byte)
+	// Closed is called once, whichever side ended the connection.
+	Closed func()
 }
 
 // Stream is one connection. Its methods may be called from any goroutine.
 type Stream struct {
-	conn netpoll.Connection
-	fd   int // -1 if the library has none; system calls on it fail
+	conn  *net.TCPConn
+	raw   syscall.RawConn
+	input input
 
 	mu          sync.Mutex
+	fd          int // valid until closed is set
 	queue       []queuedWrite
-	queuedBytes int  // in queue and in what is being written
+	queuedBytes int  // in queue and in what is being written, with writeOverhead for each write
 	writing     bool // writeQueued is running
 	closing     bool // no more writes are accepted; the write side is shut down once the queue is empty
-	closed      bool // fd may have been reused for another connection
-	peekBuffer  [1]byte
-}
-
-type queuedWrite struct {
-	bytes []byte
-	done  func(error) // may be nil
-}
-
-// ConfigureLibrary configures the library with one poller, which is enough for one core, and a writer for its log.
-func ConfigureLibrary(log io.Writer) error {
-	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log})
+	closed      bool
 }
 
 // Dial opens a connection. It blocks for at most the timeout.
-func Dial(address string, timeout time.Duration) (netpoll.Connection, error) {
-	return netpoll.DialConnection("tcp", address, timeout)
+func Dial(address string, timeout time.Duration) (*net.TCPConn, error) {
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return conn.(*net.TCPConn), nil
 }
 
 // New returns a stream that takes over a connection. Nothing is read before Start.
-func New(conn netpoll.Connection) *Stream {
-	conn.SetWriteTimeout(writeTimeout)
+func New(conn *net.TCPConn) *Stream {
 	s := &Stream{conn: conn, fd: -1}
-	if c, ok := conn.(interface{ Fd() int }); ok {
-		s.fd = c.Fd()
+	raw, err := conn.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { s.fd = int(fd) })
+	}
+	if err != nil { // the connection is closed already
+		s.closed = true
+		s.closing = true
 	}
+	s.raw = raw
 	s.setReceiveBuffer(receiveBuffer)
 	return s
 }
 
 // Start begins to read. Callbacks may be called before it returns.
-func (s *Stream) Start(events Events) {
-	s.conn.AddCloseCallback(func(netpoll.Connection) error {
-		s.mu.Lock()
-		s.closed = true
-		s.closing = true
-		s.mu.Unlock()
-		events.Closed()
-		return nil
-	})
-	s.conn.SetOnRequest(func(_ context.Context, c netpoll.Connection) error {
-		r := c.Reader()
-		p, err := r.Next(r.Len())
-		if err != nil {
-			return err
-		}
-		events.Received(p)
-		return r.Release()
-	})
-	if !s.conn.IsActive() { // the connection ended before the callbacks were set
-		s.conn.Close()
-	}
-}
+func (s *Stream) Start(events Events) { go s.readUntilEnd(events) }
 
 // PeerAddress returns the peer's address, for logs.
 func (s *Stream) PeerAddress() string { return s.conn.RemoteAddr().String() }
 
-// Idle reports whether the connection is open and nothing unread has arrived: neither bytes nor the end of the peer's
-// stream.
-func (s *Stream) Idle() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closing || s.conn.Reader().Len() > 0 {
-		return false
-	}
-	_, err := s.peek()
-	return errors.Is(err, syscall.EAGAIN)
-}
-
-// PeerPresent reports whether the peer is still connected. It asks the kernel, because a FIN or reset may have arrived
-// without having been read yet. A FIN behind unread bytes is not detected.
-func (s *Stream) PeerPresent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return false
-	}
-	n, err := s.peek()
-	return n > 0 || err != nil && !errors.Is(err, syscall.ECONNRESET)
-}
-
-// peek checks whether a byte has arrived, without consuming it. 0 bytes without an error are the end of the peer's
-// stream. The caller must hold s.mu.
-func (s *Stream) peek() (n int, err error) {
-	n, _, err = syscall.Recvfrom(s.fd, s.peekBuffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
-
+// setReceiveBuffer sets the size of the kernel's receive buffer. The caller must hold s.mu, unless nobody else has s yet.
 func (s *Stream) setReceiveBuffer(bytes int) {
-	syscall.SetsockoptInt(s.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	if !s.closed {
+		syscall.SetsockoptInt(s.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	}
 }
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -1,15 +1,12 @@
 package stream
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
 // dialUnstarted returns an unstarted stream, whose end is not reported, and its peer, which reads nothing by itself.
@@ -42,8 +39,8 @@
 	return s, peer, in, ended
 }
 
-// TestWriteDoesNotBlockOnStalledPeer checks that Write returns although the peer reads nothing, where the library's
-// flush would block, and that the queue can't grow without bound.
+// TestWriteDoesNotBlockOnStalledPeer checks that Write returns although the peer reads nothing, and that the queue can't
+// grow without bound.
 func TestWriteDoesNotBlockOnStalledPeer(t *testing.T) {
 	s, peer, _, ended := dialStarted(t)
 	done := make(chan error, 2)
@@ -140,23 +137,18 @@
 		}
 		return v
 	}
-	accepted := make(chan int, 1)
-	loop, err := netpoll.NewEventLoop(func(context.Context, netpoll.Connection) error { return nil },
-		netpoll.WithOnPrepare(func(c netpoll.Connection) context.Context {
-			accepted <- nodelay(New(c))
-			return context.Background()
-		}))
+	defer ln.Close()
+	conn, err := Dial(ln.Addr().String(), time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go loop.Serve(ln)
-	defer loop.Shutdown(t.Context())
-	conn, err := Dial(ln.Addr().String(), time.Second)
+	defer conn.Close()
+	accepted, err := ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	if dialed, acceptedValue := nodelay(New(conn)), <-accepted; dialed == 0 || acceptedValue == 0 {
+	defer accepted.Close()
+	if dialed, acceptedValue := nodelay(New(conn)), nodelay(New(accepted.(*net.TCPConn))); dialed == 0 || acceptedValue == 0 {
 		t.Errorf("TCP_NODELAY %d on the dialed connection, %d on the accepted one", dialed, acceptedValue)
 	}
 }
@@ -221,10 +213,58 @@
 	}
 	s.Close()
 
-	s, _, _, _ = dialStarted(t) // the library sees no end, but its first call to the kernel fails
+	s, _, _, _ = dialStarted(t) // the end is not seen, but the first call to the kernel fails
 	syscall.Shutdown(s.fd, syscall.SHUT_WR)
 	s.Write([]byte("a command"), func(err error) { done <- err })
 	if err := <-done; !errors.Is(err, ErrUnwritten) {
 		t.Errorf("refused by the kernel: %v", err)
 	}
 }
+
+// TestInputIsNotReadAheadOfOwner guards against input that piles up in memory while its owner is busy: a peer that sends
+// at full speed has to wait.
+func TestInputIsNotReadAheadOfOwner(t *testing.T) {
+	const sent = 16 << 20
+	s, peer := dialUnstarted(t)
+	handle, ended := make(chan struct{}), make(chan struct{})
+	received := 0
+	s.Start(Events{
+		Received: func(p []byte) {
+			<-handle
+			received += len(p)
+		},
+		Closed: func() { close(ended) },
+	})
+	peer.SetDeadline(time.Now().Add(300 * time.Millisecond))
+	accepted, err := peer.Write(make([]byte, sent))
+	if err == nil || s.Behind() == 0 {
+		t.Errorf("%d bytes were taken from the peer while the owner handled none, behind for %v", accepted, s.Behind())
+	}
+	peer.Close()
+	close(handle)
+	<-ended
+	if received != accepted {
+		t.Errorf("%d bytes were received, the peer sent %d", received, accepted)
+	}
+}
+
+// TestWritesAreBatched checks that many small writes arrive in order and are each reported once, also if the peer reads
+// only later.
+func TestWritesAreBatched(t *testing.T) {
+	const writes = 5000
+	s, peer, _, _ := dialStarted(t)
+	results := make(chan error, writes)
+	for i := range writes {
+		s.Write([]byte{byte(i)}, func(err error) { results <- err })
+	}
+	got := make([]byte, writes)
+	if _, err := io.ReadFull(peer, got); err != nil {
+		t.Fatal(err)
+	}
+	for i := range writes {
+		if err := <-results; err != nil || got[i] != byte(i) {
+			t.Fatalf("write %d: %v, byte %d", i, err, got[i])
+		}
+	}
+	s.Close()
+}
--- a/internal/stream/write.go
+++ b/internal/stream/write.go
@@ -1,10 +1,24 @@
 package stream
 
 import (
+	"cmp"
 	"errors"
 	"syscall"
+	"time"
 )
 
+const (
+	// writeOverhead is what a queued write takes in memory besides its bytes, in bytes.
+	writeOverhead = 128
+	// maxBatchBytes limits the bytes of the writes that are passed to the kernel at once, unless a single one is larger.
+	maxBatchBytes = 1 << 16
+)
+
+type queuedWrite struct {
+	bytes []byte
+	done  func(error) // may be nil
+}
+
 // Write queues bytes, which belong to the stream from here on; it never blocks. done, if not nil, is called once: with
 // nil if the kernel has accepted all of the bytes, with ErrUnwritten only if it has certainly accepted none. If the queue
 // has no room for the bytes, the connection is closed; an owner that may write a lot at once calls HasRoom first.
@@ -19,7 +33,7 @@
 	}
 	overLimit := !s.hasRoom(len(p))
 	s.queue = append(s.queue, queuedWrite{p, done})
-	s.queuedBytes += len(p)
+	s.queuedBytes += len(p) + writeOverhead
 	startWriter := !s.writing
 	s.writing = true
 	s.mu.Unlock()
@@ -40,48 +54,50 @@
 }
 
 // hasRoom is HasRoom for a caller that holds s.mu.
-func (s *Stream) hasRoom(size int) bool { return s.queuedBytes+size <= max(maxQueuedBytes, size) }
+func (s *Stream) hasRoom(size int) bool {
+	size += writeOverhead
+	return s.queuedBytes+size <= max(maxQueuedBytes, size)
+}
 
-// writeQueued writes until the queue is empty. It runs on a separate goroutine, because the library's flush blocks
-// while the peer reads nothing.
+// writeQueued writes until the queue is empty. It runs on a separate goroutine, because writing blocks while the peer
+// reads nothing.
 func (s *Stream) writeQueued() {
-	var earlierErr error
+	failed := false
 	for {
-		writes := s.takeQueued(earlierErr == nil)
-		if writes == nil {
+		batch := s.takeBatch(!failed)
+		if batch == nil {
 			return
 		}
-		for i, write := range writes {
-			writes[i] = queuedWrite{} // later writes may wait for long, and must not keep this one in memory
-			err := earlierErr
-			if err == nil {
-				err = s.writeBlocking(write.bytes)
-			}
-			if err != nil && earlierErr == nil {
-				earlierErr = ErrUnwritten // nothing of the later writes was sent
-				failedWrites.Add()
-				s.Close()
-			}
-			s.mu.Lock()
-			s.queuedBytes -= len(write.bytes)
-			s.mu.Unlock()
-			if write.done != nil {
-				write.done(err)
-			}
+		accepted := 0
+		err := ErrUnwritten
+		if !failed {
+			accepted, err = s.writeBatch(batch)
+		}
+		if err != nil && !failed {
+			failed = true
+			failedWrites.Add()
+			s.Close()
 		}
+		s.endBatch(batch, accepted, err)
 	}
 }
 
-// takeQueued removes and returns the queued writes. If there are none, it returns nil and the writer ends; if the
+// takeBatch removes and returns the first queued writes. If there are none, it returns nil and the writer ends; if the
 // stream is closing and all was written, the write side is then shut down.
-func (s *Stream) takeQueued(allWritten bool) []queuedWrite {
+func (s *Stream) takeBatch(allWritten bool) []queuedWrite {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writes := s.queue
-	s.queue = nil
-	if len(writes) > 0 {
-		return writes
+	size, count := 0, 0
+	for count < len(s.queue) && (count == 0 || size+len(s.queue[count].bytes) <= maxBatchBytes) {
+		size += len(s.queue[count].bytes)
+		count++
+	}
+	batch := s.queue[:count:count]
+	s.queue = s.queue[count:]
+	if count > 0 {
+		return batch
 	}
+	s.queue = nil
 	s.writing = false
 	if s.closing && allWritten {
 		s.closeWriteSide()
@@ -89,17 +105,62 @@
 	return nil
 }
 
-// writeBlocking passes bytes to the kernel; it blocks while the peer reads nothing.
-func (s *Stream) writeBlocking(p []byte) error {
-	if !s.conn.IsActive() {
-		return ErrUnwritten
+// writeBatch passes writes to the kernel and returns the number of bytes accepted. It blocks while the peer reads nothing,
+// for at most writeTimeout.
+func (s *Stream) writeBatch(batch []queuedWrite) (accepted int, err error) {
+	p := batch[0].bytes
+	if len(batch) > 1 {
+		p = make([]byte, 0, maxBatchBytes)
+		for _, write := range batch {
+			p = append(p, write.bytes...)
+		}
+	}
+	var result error
+	blocked := false
+	err = s.raw.Write(func(fd uintptr) bool {
+		for accepted < len(p) {
+			n, err := syscall.Write(int(fd), p[accepted:])
+			switch {
+			case n > 0:
+				accepted += n
+			case errors.Is(err, syscall.EINTR):
+			case errors.Is(err, syscall.EAGAIN):
+				if !blocked {
+					blocked = true
+					s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+				}
+				return false
+			default:
+				result = err
+				return true
+			}
+		}
+		return true
+	})
+	if blocked {
+		s.conn.SetWriteDeadline(time.Time{})
 	}
-	_, err := s.conn.Write(p)
-	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
-		// The library's Write stops at the first failing call to the kernel. EPIPE and ECONNRESET come only from the
-		// first call, so nothing was sent: its poller makes the later calls, and their failure arrives as a closed
-		// connection. This depends on the Write of cloudwego/netpoll; check it when the library is updated.
-		return ErrUnwritten
+	return accepted, cmp.Or(err, result)
+}
+
+// endBatch reports the end of each write of a batch of which the kernel has accepted a number of bytes.
+func (s *Stream) endBatch(batch []queuedWrite, accepted int, err error) {
+	for i, write := range batch {
+		batch[i] = queuedWrite{} // the queue may share the array, which must not keep the write
+		size := len(write.bytes)
+		s.mu.Lock()
+		s.queuedBytes -= size + writeOverhead
+		s.mu.Unlock()
+		result := err
+		switch {
+		case err == nil || accepted >= size:
+			result = nil
+		case accepted <= 0:
+			result = ErrUnwritten
+		}
+		accepted -= size
+		if write.done != nil {
+			write.done(result)
+		}
 	}
-	return err
 }
