Use a node connection whose startup reply is still being handled

Cause: a new connection was asked Idle() while the callback that had seen the node's ready message had not returned yet; it counted as not idle and was dropped, and the waiting command got no other one. Evidence: a dump of the goroutines without any reader of a node connection. Change: the goroutine that connects waits until the callback has returned.

--- a/internal/backend/connect.go
+++ b/internal/backend/connect.go
@@ -133,6 +133,8 @@
 	}
 	if err != nil {
 		c.stream.Close()
+		return c, code, err
 	}
-	return c, code, err
+	c.stream.WaitHandled() // until then the connection is not idle
+	return c, code, nil
 }
--- a/internal/stream/read.go
+++ b/internal/stream/read.go
@@ -18,7 +18,7 @@
 // input is the state of a stream's reader.
 type input struct {
 	behindSince atomic.Int64 // Unix time in ns since when there has been more input than one read returned; 0 for none
-	handling    bool         // bytes were read that the owner is still handling; guarded by Stream.mu
+	handling    sync.Mutex   // held from reading bytes until the owner has handled them
 	waited      bool         // hasInput has found nothing and waitForInput has waited; used by the reader alone
 	peeked      [1]byte      // used by the reader alone
 }
@@ -37,7 +37,7 @@
 		switch err := s.raw.Read(hasInput); {
 		case err == nil:
 			admit(read)
-		case errors.Is(err, os.ErrDeadlineExceeded): // set by closeWriteSide
+		case errors.Is(err, os.ErrDeadlineExceeded): // set by interruptReader
 			s.conn.SetReadDeadline(time.Time{})
 			events.Received(nil)
 		default:
@@ -67,30 +67,33 @@
 func (s *Stream) readOnce(received func(p []byte)) (ended bool) {
 	buffer := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(buffer)
+	s.input.handling.Lock()
+	defer s.input.handling.Unlock()
 	n, err := s.readPiece(buffer[:])
 	if n == readBufferSize {
 		s.input.behindSince.CompareAndSwap(0, time.Now().UnixNano())
 	}
 	if n > 0 {
 		received(buffer[:n])
-		s.mu.Lock()
-		s.input.handling = false
-		s.mu.Unlock()
 		return false
 	}
 	return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 }
 
-// readPiece reads without blocking. The lock makes reading and marking the bytes as being handled one step for Idle.
+// readPiece reads without blocking.
 func (s *Stream) readPiece(p []byte) (n int, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return 0, syscall.EBADF
 	}
-	n, err = syscall.Read(s.fd, p)
-	s.input.handling = n > 0
-	return n, err
+	return syscall.Read(s.fd, p)
+}
+
+// WaitHandled waits until the owner has handled the bytes that were passed to it. It must not be called by a callback.
+func (s *Stream) WaitHandled() {
+	s.input.handling.Lock()
+	defer s.input.handling.Unlock()
 }
 
 // Behind returns for how long input has arrived faster than it was read and handled, 0 if the reader has come to its end.
@@ -105,9 +108,13 @@
 // Idle reports whether the connection is open and nothing has arrived that the owner has not handled: neither bytes nor
 // the end of the peer's stream.
 func (s *Stream) Idle() bool {
+	if !s.input.handling.TryLock() {
+		return false
+	}
+	defer s.input.handling.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || s.input.handling {
+	if s.closing {
 		return false
 	}
 	var peeked [1]byte
