--- a/internal/engine/node_reports_test.go
+++ b/internal/engine/node_reports_test.go
@@ -31,6 +31,9 @@
 		if got := summary(readUntil(t, conn, 'Z')); got != "row" {
 			t.Errorf("%s: %q", name, got)
 		}
+		applied := make(chan struct{}) // the answer is sent before the reports that came with it are applied
+		r.engine.Post(0, func(int64) { close(applied) })
+		<-applied
 		if got := metrics.Value("load reports impossible") - before; got != c.want {
 			t.Errorf("%s: %d discarded as implausible", name, got)
 		}
