Bound incomplete messages by the memory they take, and release it at the close

Cause: the limit counted the bytes received, not the buffer, which append had grown up to twice as large; a session that was closed for its message kept the buffer until its client had gone, a second or longer, and did not count any more; an idle session kept 16 KiB. And the session closed was the one that happened to read last, which could be a sound client's. Evidence: FrameDecoder.Feed held 472 of 502 MB of the heap.

--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -133,23 +133,3 @@
 	partialSince := c.partialSince.Load()
 	return phase != phaseClosing && partialSince > 0 && now-partialSince > firstCommandTimeout
 }
-
-// recordPartial records the number of bytes received of an incomplete message. If the total over all connections
-// exceeds the limit, a session that holds more than an equal share of it is closed. It is called on the reader's
-// goroutine, and once more after that goroutine has ended.
-func (c *session) recordPartial(at, bytes int64) {
-	s := c.server
-	total := s.partialBytes.Add(bytes - c.partialBytes)
-	mostPartialBytes.RaiseTo(total)
-	c.partialBytes = bytes
-	if bytes == 0 {
-		c.partialSince.Store(0)
-		return
-	}
-	c.partialSince.CompareAndSwap(0, at)
-	if total > s.limits.partialBytes && bytes > s.limits.equalShare(s.limits.partialBytes) {
-		connectionsOverLimit.Add()
-		c.sendFatalError(endedTooMuchPartial, pgwire.CodeRejected, "too much in hand")
-		c.recordPartial(at, 0)
-	}
-}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -30,6 +30,7 @@
 
 	phase        atomic.Int32 // a phase; read by currentPhase, set by setPhase
 	phaseSince   atomic.Int64 // us: start of the phase
+	partialBytes atomic.Int64 // of memory that an incomplete message takes
 	partialSince atomic.Int64 // us: when the first bytes of an incomplete message arrived, 0 for none
 	noRoomSince  atomic.Int64 // us: since when the connection has had no room for the next answer and accepted none; 0 if it has
 
@@ -43,7 +44,6 @@
 	frames          *pgwire.FrameDecoder // nil once input is discarded
 	started         bool                 // the startup message has been handled
 	encryptionAsked bool
-	partialBytes    int64 // received bytes of an incomplete message
 
 	mu      sync.Mutex
 	answers []*answer // pending answers in the order of their commands
@@ -90,7 +90,9 @@
 	at := c.server.now()
 	c.usage.bytes.Add(int64(len(p)))
 	defer func() { c.usage.handling.Add(c.server.now() - at) }()
-	if !c.isClosing() {
+	if c.isClosing() {
+		readsAfterClose.Add()
+	} else {
 		c.frames.Feed(p)
 	}
 	for !c.isClosing() {
@@ -101,8 +103,8 @@
 			break
 		}
 		if !complete {
-			c.recordPartial(at, int64(c.frames.Buffered()))
-			return
+			c.recordPartial(at, int64(c.frames.Held()))
+			break
 		}
 		c.usage.messages.Add(1)
 		c.partialSince.Store(0)
@@ -112,9 +114,10 @@
 			c.handleFirstMessage(frame)
 		}
 	}
-	readsAfterClose.Add()
-	c.frames = nil
-	c.recordPartial(at, 0)
+	if c.isClosing() {
+		c.frames = nil
+		c.recordPartial(at, 0)
+	}
 }
 
 // handleFirstMessage handles the messages before the startup is complete: an encryption request, which is declined, and
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -27,10 +27,20 @@
 	}
 	s.conn.CloseWrite()
 	s.setReceiveBuffer(closingReceiveBuffer)
-	s.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reader once; see Events.Received
+	s.interruptReader()
 	time.AfterFunc(lingerTimeout, s.Close)
 }
 
+// InterruptReader makes the stream's goroutine call Events.Received once without bytes, also if nothing arrives.
+func (s *Stream) InterruptReader() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interruptReader()
+}
+
+// interruptReader is InterruptReader for a caller that holds s.mu.
+func (s *Stream) interruptReader() { s.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // ShutdownNow shuts down the write side at once, so that the peer sees it before anything that is sent elsewhere after
 // ShutdownNow returns. The connection is closed soon after.
 func (s *Stream) ShutdownNow() {
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -56,8 +56,9 @@
 	// Admit is called when input has arrived; it calls read, which passes a piece of it to Received. It may block before
 	// that. If Admit is nil, input is read as soon as it arrives.
 	Admit func(read func())
-	// Received is called with the bytes read, which are valid until it returns. Once the write side has been shut down it
-	// is called with none, so that the owner can release what it keeps of earlier input.
+	// Received is called with the bytes read, which are valid until it returns. It is called with none after
+	// InterruptReader, and once the write side has been shut down, so that the owner can release what it keeps of earlier
+	// input.
 	Received func(p []byte)
 	// Closed is called once, whichever side ended the connection.
 	Closed func()
