Limit the fields of a command's comment, and copy a command only once it is decoded

Cause: each field's name went into a map, for a head of 150 kB some 15,000 entries, and the statement was copied before anything was checked. Change: a comment may have 64 fields (the protocol has ten), kept in an array on the stack; further ones are an error (22023). The statement is copied only once it is valid, and a command's size counts the fields copied from it. An error repeats 64 bytes of a field's name, a log record 64 of an id.

Test: TestManyFieldsAreRejectedEarly failed before (more than the statement was allocated). Packages' tests pass.

--- a/internal/engine/request_log.go
+++ b/internal/engine/request_log.go
@@ -10,7 +10,10 @@
 	rejectedLog = eventlog.New("command rejected")
 )
 
-// reasons of commands that never reached the routing module.
+// maxLoggedID is how much of a command's id is logged, in bytes.
+const maxLoggedID = 64
+
+// Reasons of commands that never reached the routing module.
 const (
 	reasonDuplicateID = "an id that is in flight"
 	reasonRouting     = "routing"
@@ -21,6 +24,7 @@
 	if !log.Allow() {
 		return
 	}
+	id := request.Command.ID
 	lastNode, lastOutcome := "", ""
 	if attempts := request.Attempts; len(attempts) > 0 {
 		last := attempts[len(attempts)-1]
@@ -31,7 +35,7 @@
 		}
 	}
 	log.Info(
-		"id", request.Command.ID,
+		"id", id[:min(len(id), maxLoggedID)],
 		"class", request.Command.Group,
 		"shard", request.Command.Shard,
 		"reason", reason,
--- a/internal/pgwire/command.go
+++ b/internal/pgwire/command.go
@@ -11,6 +11,13 @@
 // times can't overflow.
 const maxTimeout = 24 * 3_600_000_000
 
+// maxFields limits the fields of a comment. The protocol has ten; very many cost time and memory before a command is
+// admitted.
+const maxFields = 64
+
+// maxFieldInError is how much of a field's name an error repeats, in bytes.
+const maxFieldInError = 64
+
 // The names of the fields in a command's leading comment.
 const (
 	fieldID         = "id"
@@ -39,11 +46,13 @@
 // Error implements error.
 func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
 
-func invalid(field, reason string) error { return &FieldError{CodeInvalidValue, field, reason} }
+func invalid(field, reason string) error {
+	return &FieldError{CodeInvalidValue, field[:min(len(field), maxFieldInError)], reason}
+}
 
 // DecodeCommand decodes a statement with its leading comment and keeps a copy of the bytes. The error is a *FieldError.
 func DecodeCommand(statement []byte) (*Command, error) {
-	c := &Command{statement: bytes.Clone(statement)}
+	c := &Command{statement: statement}
 	text := c.statement
 	start := len(text) - len(bytes.TrimLeft(text, " \t\r\n"))
 	end := bytes.Index(text, []byte("*/"))
@@ -54,30 +63,32 @@
 		return nil, err
 	}
 	var err error
-	c.Session, err = firstLiteral(text[end+2:])
-	return c, err
+	if c.Session, err = firstLiteral(text[end+2:]); err != nil {
+		return nil, err
+	}
+	c.statement = bytes.Clone(statement)
+	return c, nil
 }
 
 // decodeComment decodes the fields in statement[start:end].
 func (c *Command) decodeComment(start, end int) error {
-	seen := map[string]bool{}
+	var seen fieldNames
 	for start < end {
 		pairEnd := end
 		if comma := bytes.IndexByte(c.statement[start:end], ','); comma >= 0 {
 			pairEnd = start + comma
 		}
 		name, value, hasValue := bytes.Cut(c.statement[start:pairEnd], []byte("="))
-		field := string(bytes.TrimSpace(name))
-		if hasValue || field != "" {
-			if seen[field] {
-				return invalid(field, "stands twice")
+		field := bytes.TrimSpace(name)
+		if hasValue || len(field) > 0 {
+			if err := seen.add(field); err != nil {
+				return err
 			}
-			seen[field] = true
 			value = bytes.TrimSpace(value)
 			if len(value) == 0 {
-				return invalid(field, "no value")
+				return invalid(string(field), "no value")
 			}
-			if err := c.setField(field, value, start+len(name)+1); err != nil {
+			if err := c.setField(string(field), value, start+len(name)+1); err != nil {
 				return err
 			}
 		}
@@ -86,14 +97,42 @@
 	switch {
 	case c.ID == "":
 		return invalid(fieldID, "missing")
-	case !seen[fieldTimeout]:
+	case !seen.has(fieldTimeout):
 		return invalid(fieldTimeout, "missing")
-	case !seen[fieldShard]:
+	case !seen.has(fieldShard):
 		return invalid(fieldShard, "missing")
 	}
 	return nil
 }
 
+// fieldNames holds the names of the fields of a comment so far.
+type fieldNames struct {
+	names [maxFields][]byte
+	count int
+}
+
+// add adds a name, which must not have been added before.
+func (f *fieldNames) add(name []byte) error {
+	if f.has(string(name)) {
+		return invalid(string(name), "stands twice")
+	}
+	if f.count == maxFields {
+		return invalid("comment", "too many fields")
+	}
+	f.names[f.count] = name
+	f.count++
+	return nil
+}
+
+func (f *fieldNames) has(name string) bool {
+	for _, one := range f.names[:f.count] {
+		if string(one) == name {
+			return true
+		}
+	}
+	return false
+}
+
 // setField sets one field. The value is the first occurrence of its bytes in statement[offset:].
 func (c *Command) setField(field string, value []byte, offset int) (err error) {
 	switch field {
@@ -159,5 +198,7 @@
 	return Frame{'Q', body}.Append(dst)
 }
 
-// Size returns the length of the command's statement in bytes.
-func (c *Command) Size() int { return len(c.statement) }
+// Size returns the bytes that the command's statement and the fields copied from it take.
+func (c *Command) Size() int {
+	return len(c.statement) + len(c.ID) + len(c.Group) + len(c.Tenant) + len(c.Session)
+}
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -57,6 +59,28 @@
 	}
 }
 
+// TestManyFieldsAreRejectedEarly guards against heads of very many short fields, which cost time and memory before a
+// command is admitted.
+func TestManyFieldsAreRejectedEarly(t *testing.T) {
+	var comment strings.Builder
+	for i := range 30_000 {
+		fmt.Fprintf(&comment, "%x=1,", i+0x10000)
+	}
+	statement := []byte("/* " + comment.String() + "id=1,c=a,d=1,cluster=1 */ x")
+	_, err := DecodeCommand(statement)
+	var field *FieldError
+	if !errors.As(err, &field) || field.Field != "comment" {
+		t.Errorf("%v", err)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	DecodeCommand(statement)
+	runtime.ReadMemStats(&after)
+	if allocated, size := after.TotalAlloc-before.TotalAlloc, uint64(len(statement)); allocated > size/10 {
+		t.Errorf("%d bytes were allocated for a statement of %d that is not admitted", allocated, size)
+	}
+}
+
 // FuzzCommand checks that a command that can be decoded is forwarded with only its timeout changed, and that the result
 // decodes to the same fields.
 func FuzzCommand(f *testing.F) {
