Leave the program's own pages out of the memory that the router divides

Cause: the Go runtime's soft limit was 0.7 of the whole limit, 22.4 MB, and in-flight and incomplete bytes were fractions of it too, but 11 MB are the executable's and the C library's resident pages, which neither counts (RssFile 11,280 kB, RssAnon 2,340 kB of an idle router). Change: 12 MiB are set aside for them first, at most three quarters of the limit; the shares are those of the rest.

--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -40,7 +40,7 @@
 type Config struct {
 	GroupNumbers, TenantNumbers map[string]int // numbers in the routing module, by the names used in commands
 	MaxConnections              int            // maximum number of open connections
-	MemoryLimit                 int64          // of the process, bytes; fractions of it limit the data in flight
+	MemoryLimit                 int64          // bytes that the Go runtime may use; fractions of it limit the data in flight
 }
 
 // New returns a server that uses the router's clock, us, and passes its requests to the given handler.
--- a/internal/serve/limits.go
+++ b/internal/serve/limits.go
@@ -7,9 +7,14 @@
 )
 
 const (
-	// gcMemoryShare is the fraction of the memory limit that is set as the Go runtime's soft limit, near which the
-	// garbage collector runs more often.
+	// gcMemoryShare is the fraction of the usable memory that is set as the Go runtime's soft limit, near which the garbage
+	// collector runs more often.
 	gcMemoryShare = 0.7
+	// programMemory is what the process holds beside the Go runtime's memory, in bytes: the resident pages of the
+	// executable and of the C library.
+	programMemory = 12 << 20
+	// minUsableShare is the smallest fraction of the memory limit that is used, however small the limit is.
+	minUsableShare = 0.25
 	// reservedSockets is the number of file descriptors kept for the listener, the poller, discovery and the runtime.
 	reservedSockets = 32
 	// clientShare is the fraction of the remaining descriptors that client connections may use; node connections get the
@@ -23,6 +28,7 @@
 // resourceLimits are the limits of the process, derived from those in the platform's configuration.
 type resourceLimits struct {
 	memory            int64 // bytes
+	usableMemory      int64 // bytes of memory that is left for the Go runtime
 	sockets           int
 	clientConnections int
 	nodeConnections   int
@@ -42,8 +48,9 @@
 		sockets = defaultSockets
 	}
 	limits := resourceLimits{memory: int64(memoryMB * (1 << 20)), sockets: sockets}
+	limits.usableMemory = max(limits.memory-programMemory, int64(minUsableShare*float64(limits.memory)))
 	limits.clientConnections = int(float64(sockets-reservedSockets) * clientShare)
 	limits.nodeConnections = sockets - reservedSockets - limits.clientConnections
-	debug.SetMemoryLimit(int64(float64(limits.memory) * gcMemoryShare))
+	debug.SetMemoryLimit(int64(float64(limits.usableMemory) * gcMemoryShare))
 	return limits
 }
--- a/internal/serve/memory_watch.go
+++ b/internal/serve/memory_watch.go
@@ -12,7 +12,7 @@
 const (
 	// memoryCheckInterval is the interval between checks of the process's memory.
 	memoryCheckInterval = time.Second
-	// memoryWarningShare is the fraction of the memory limit from which on the use of memory is logged.
+	// memoryWarningShare is the fraction of the usable memory from which on the use of memory is logged.
 	memoryWarningShare = 0.75
 )
 
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -41,7 +41,7 @@
 	frontend             *frontend.Server
 	services             *clusterServices
 	rollouts             *rolloutRouter
-	memoryLimit          int64 // bytes
+	usableMemory         int64 // bytes
 	longestClientTimeout int64 // us
 
 	discoveryAddresses chan string // new addresses of discovery
@@ -126,11 +126,11 @@
 			GroupNumbers:   catalog.GroupNumbers,
 			TenantNumbers:  catalog.TenantNumbers,
 			MaxConnections: limits.clientConnections,
-			MemoryLimit:    limits.memory,
+			MemoryLimit:    limits.usableMemory,
 		}),
 		services:             services,
 		rollouts:             rollouts,
-		memoryLimit:          limits.memory,
+		usableMemory:         limits.usableMemory,
 		longestClientTimeout: catalog.LongestClientTimeout,
 		discoveryAddresses:   make(chan string, 1),
 		listenFailed:         make(chan error, 1),
@@ -153,7 +153,7 @@
 	}
 	go discovery.Follow(ctx, discoveryAddress, discovery.UnknownVersion, r.discoveryAddresses, onList)
 	go func() { r.listenFailed <- r.frontend.Serve(ln) }()
-	go memoryWatch{limit: r.memoryLimit, owners: r.frontend.MemoryOwners}.run(ctx)
+	go memoryWatch{limit: r.usableMemory, owners: r.frontend.MemoryOwners}.run(ctx)
 }
 
 // applyList applies an endpoint list; the first one makes the router ready. It runs on the engine's goroutine.
