Handle clients' input in fair turns, and count what commands cost besides their bytes

Causes: the goroutines of six connections shared the processors with the engine and with every other connection, each for as long as its input lasted; each answer of 6 to 11 bytes was written by a call of its own; a command counted as in flight with its 100 bytes, but takes over 1 kB; answers to invalid and empty queries were not limited by memory at all.

Commands of a client whose input has been unread for over 50 ms are rejected (53300), and no attempt begins for it: behind unread input nobody can tell whether it is still there. Answers that are known together are written together. A command counts 1 KiB and an answer 128 bytes besides their bytes, and the router's own answers keep to the limit of rejections.

--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -26,18 +26,17 @@
 func (c *session) flush() {
 	wrote := false
 	for len(c.answers) > 0 && c.answers[0].known() {
-		next := c.answers[0]
-		if !c.stream.HasRoom(len(next.bytes)) {
+		count, size := c.dueAnswers()
+		if !c.stream.HasRoom(size) {
 			c.noRoomSince.CompareAndSwap(0, c.server.now())
 			return
 		}
-		c.answers[0] = nil // the slice keeps its array, which must not keep the answer
-		c.answers = c.answers[1:]
+		due := c.answers[:count]
+		c.answers = c.answers[count:]
 		wrote = true
-		if next.bytes != nil {
-			c.write(next.bytes)
-		}
-		if next.last {
+		last := due[count-1].last
+		c.write(due, size)
+		if last {
 			c.setPhase(phaseClosing)
 			c.stream.CloseGracefully()
 			return
@@ -51,15 +50,42 @@
 	}
 }
 
-// write queues bytes on the connection; they stay in flight until the kernel has accepted them.
-func (c *session) write(bytes []byte) {
-	c.stream.Write(bytes, func(err error) { c.answerWritten(len(bytes), err) })
+// dueAnswers returns how many of the first answers are known and small enough to be written together, at least one, and
+// their size. The caller must hold c.mu.
+func (c *session) dueAnswers() (count, size int) {
+	for _, next := range c.answers {
+		together := size + len(next.bytes)
+		if !next.known() || count > 0 && together > maxJoinedAnswers {
+			break
+		}
+		count++
+		size = together
+	}
+	return count, size
+}
+
+// write queues answers on the connection in one piece; they stay in flight until the kernel has accepted them.
+func (c *session) write(due []*answer, size int) {
+	bytes := due[0].bytes
+	if len(due) > 1 {
+		bytes = make([]byte, 0, size)
+		for _, next := range due {
+			bytes = append(bytes, next.bytes...)
+		}
+	}
+	cost := size + len(due)*answerOverhead
+	clear(due) // the slice keeps its array, which must not keep the answers
+	if size == 0 {
+		c.addInFlight(-cost)
+		return
+	}
+	c.stream.Write(bytes, func(err error) { c.answerWritten(cost, err) })
 }
 
-// answerWritten is called once the kernel has accepted an answer, which makes room for the next ones, or once its write
+// answerWritten is called once the kernel has accepted answers, which makes room for the next ones, or once their write
 // has failed because the connection ends. In the latter case the caller may hold c.mu.
-func (c *session) answerWritten(size int, err error) {
-	c.addInFlight(-size)
+func (c *session) answerWritten(cost int, err error) {
+	c.addInFlight(-cost)
 	if err != nil {
 		return
 	}
@@ -84,14 +110,14 @@
 // complete sets a pending answer. If the session may not hold its bytes, the client gets an error in their place; small
 // answers are kept. The caller must hold c.mu.
 func (c *session) complete(pending *answer, bytes []byte) {
-	c.addInFlight(-pending.request.Command.Size())
+	c.addInFlight(-pending.cost())
 	pending.request = nil // the command is not needed any more
 	if len(bytes) > maxKeptAnswer && c.overInFlightShare() {
 		answersOverLimits.Add()
 		bytes = outOfMemoryError
 	}
-	c.addInFlight(len(bytes))
 	pending.bytes = bytes
+	c.addInFlight(pending.cost())
 }
 
 // firstUnknown returns the first pending answer that is not known yet, nil for none. The caller must hold c.mu.
@@ -113,7 +139,7 @@
 
 func (c *session) closeIfAllAnsweredLocked() {
 	if len(c.answers) == 0 && !c.closing {
-		c.closing = true
+		c.stopAccepting()
 		c.setPhase(phaseClosing)
 		c.stream.CloseGracefully()
 	}
@@ -122,17 +148,15 @@
 // abandonAnswers discards the pending answers of a client that has disconnected.
 func (c *session) abandonAnswers(at int64) {
 	c.mu.Lock()
-	c.closing = true
+	c.stopAccepting()
 	abandoned := c.answers
 	c.answers = nil
 	c.mu.Unlock()
 	for _, pending := range abandoned {
-		if pending.known() {
-			c.addInFlight(-len(pending.bytes))
-			continue
+		c.addInFlight(-pending.cost())
+		if !pending.known() {
+			c.server.requests.ClientGone(at, pending.request)
 		}
-		c.addInFlight(-pending.request.Command.Size())
-		c.server.requests.ClientGone(at, pending.request)
 	}
 }
 
@@ -153,10 +177,10 @@
 }
 
 // Connected implements inflight.Client. It asks the kernel, since the end of the client's stream may not have been read
-// yet.
+// yet. Of a client whose input has been piling up for too long it is not known.
 func (c *session) Connected() bool {
 	if c.stream.PeerPresent() {
-		return true
+		return !c.fallsBehind()
 	}
 	c.abandonAnswers(c.server.now())
 	return false
--- a/internal/frontend/commands.go
+++ b/internal/frontend/commands.go
@@ -37,6 +37,9 @@
 	case overLimits:
 		commandsOverLimits.Add()
 		c.rejectCommand(pgwire.CodeRejected, "too many commands in hand")
+	case overInputRate:
+		commandsFromBehind.Add()
+		c.rejectCommand(pgwire.CodeRejected, "commands arrive faster than they are read")
 	}
 }
 
@@ -75,6 +78,7 @@
 	sessionClosing
 	serverDraining
 	overLimits
+	overInputRate
 )
 
 // admit decides whether a request is accepted, and if so queues its pending answer.
@@ -91,12 +95,16 @@
 	if c.server.draining.Load() && c.currentPhase() != phaseNew {
 		return serverDraining
 	}
+	if c.fallsBehind() {
+		return overInputRate
+	}
 	if len(c.answers) >= maxPipelined || c.overInFlightLimit() {
 		return overLimits
 	}
 	c.usage.commands.Add(1)
 	c.setPhase(phaseBusy)
-	c.addInFlight(request.Command.Size())
-	c.answers = append(c.answers, &answer{request: request, arrivedAt: at})
+	pending := &answer{request: request, arrivedAt: at}
+	c.addInFlight(pending.cost())
+	c.answers = append(c.answers, pending)
 	return admitted
 }
--- a/internal/frontend/commands_test.go
+++ b/internal/frontend/commands_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"cairntiller/internal/inflight"
+	"cairntiller/internal/stream"
 )
 
 // countingHandler counts the submitted requests.
@@ -19,7 +20,7 @@
 		handler := &countingHandler{}
 		server := New(func() int64 { return 1 }, handler, Config{GroupNumbers: map[string]int{"look": 0}, MaxConnections: 9, MemoryLimit: 1 << 20})
 		server.SetReady()
-		c := &session{server: server, closing: closed}
+		c := &session{server: server, stream: &stream.Stream{}, closing: closed}
 		c.handleQuery(1, []byte("/* id=1,c=look,d=9,cluster=0 */ SELECT 1"))
 		if handler.submitted == 1 == closed {
 			t.Errorf("closing %v, submitted %d", closed, handler.submitted)
--- a/internal/frontend/incomplete_messages_test.go
+++ b/internal/frontend/incomplete_messages_test.go
@@ -65,7 +65,7 @@
 	eventually(t, "the messages have arrived", func() bool { return s.partialBytes.Load() >= sessions*largestValue })
 	before := heapBytes()
 	for _, c := range s.allSessions() {
-		c.dropPartial()
+		c.closeForPartial()
 	}
 	eventually(t, "the messages are released", func() bool { return before-heapBytes() > sessions*largestValue/2 })
 	if len(s.allSessions()) == 0 {
--- a/internal/frontend/inflight_bytes.go
+++ b/internal/frontend/inflight_bytes.go
@@ -3,7 +3,7 @@
 import "cairntiller/internal/pgwire"
 
 // Bytes in flight: those of a command from its arrival until its answer is known, and those of an answer from then on
-// until the kernel has accepted them, or until the client has disconnected. Answers that are held back behind a slow
+// until the kernel has accepted them, or until the client has disconnected; each with what its state takes besides. Answers that are held back behind a slow
 // command are therefore in flight, although none of their bytes is on the connection yet.
 //
 // Commands over the limit are rejected. The answers to those that were accepted before may still exceed it: a session
@@ -13,6 +13,22 @@
 // outOfMemoryError answers a command whose value may not be held. It may have been executed.
 var outOfMemoryError = pgwire.AppendError(nil, false, pgwire.CodeOutOfMemory, "too many bytes of answers wait for this client", 0)
 
+const (
+	// commandOverhead is what an accepted command takes in memory besides its bytes, in bytes: its request, its state in
+	// the routing module, its attempts and their timers.
+	commandOverhead = 1 << 10
+	// answerOverhead is the same for an answer that is known.
+	answerOverhead = 1 << 7
+)
+
+// cost returns the bytes that a pending answer, or the command that it is for, counts as in flight.
+func (a *answer) cost() int {
+	if a.known() {
+		return len(a.bytes) + answerOverhead
+	}
+	return a.request.Command.Size() + commandOverhead
+}
+
 // addInFlight adds to the bytes in flight, or subtracts from them.
 func (c *session) addInFlight(bytes int) {
 	c.inFlightBytes.Add(int64(bytes))
--- a/internal/frontend/inflight_bytes_test.go
+++ b/internal/frontend/inflight_bytes_test.go
@@ -8,6 +8,7 @@
 
 	"cairntiller/internal/inflight"
 	"cairntiller/internal/pgwire"
+	"cairntiller/internal/stream"
 )
 
 // TestHeldAnswersAreLimited guards against answers held back behind slow commands that use up the router's memory. A
@@ -80,10 +81,11 @@
 	if got := owner.admit(1, other); got != overLimits {
 		t.Errorf("a command over the limit: %v", got)
 	}
-	newcomer := &session{server: s.Server}
+	newcomer := &session{server: s.Server, stream: &stream.Stream{}}
 	if got := newcomer.admit(1, other); got != admitted {
 		t.Errorf("a command of another session: %v", got)
 	}
+	newcomer.addInFlight(-newcomer.answers[0].cost())
 	c.Close()
 	s.checkNoneInFlight(t)
 	if abandoned := <-s.abandoned; abandoned != requests[0] || len(s.abandoned) > 0 {
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -21,6 +21,10 @@
 	// it, errors could accumulate in memory behind one slow command. Beyond it, the connection is closed when it sends an
 	// invalid query; the rejections of commands are joined, and limited by their bytes.
 	maxQueuedAnswers = 128
+	// maxUnflushedAnswers is the number of answers that a session gathers while it handles a piece of input.
+	maxUnflushedAnswers = maxQueuedAnswers / 2
+	// maxJoinedAnswers, bytes, is the size up to which answers are written together.
+	maxJoinedAnswers = 1 << 14
 	// maxKeptAnswer, bytes, is the largest answer that a session keeps even if it is over its share. Most answers to
 	// writes are small; without them a client can't tell whether the write was executed.
 	maxKeptAnswer = 512
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -18,6 +18,8 @@
 	readsAfterClose       = metrics.New("reads after close")
 	cancelledCommands     = metrics.New("commands cancelled")
 	cancelsWithoutCommand = metrics.New("cancels without a command")
+	longestInputWait      = metrics.New("longest wait for an input turn, us")
+	commandsFromBehind    = metrics.New("commands over the input rate")
 	mostSessions          = metrics.New("most client connections")
 	mostInFlightBytes     = metrics.New("most bytes in flight")
 	mostPartialBytes      = metrics.New("most bytes of incomplete messages")
--- a/internal/frontend/router_answers.go
+++ b/internal/frontend/router_answers.go
@@ -23,7 +23,10 @@
 	if c.closing {
 		return
 	}
-	if len(c.answers) >= maxQueuedAnswers {
+	if c.handlingInput && len(c.answers) >= maxUnflushedAnswers {
+		c.flush()
+	}
+	if len(c.answers) >= maxQueuedAnswers || c.overRejectionShare() {
 		c.closeOverLimit()
 		return
 	}
@@ -84,17 +87,29 @@
 
 // appendLast queues the last answer of the session. The caller must hold c.mu.
 func (c *session) appendLast(bytes []byte) {
-	c.closing = true
+	c.stopAccepting()
 	if len(c.answers) == 0 {
 		c.setPhase(phaseClosing)
 	}
 	c.appendKnown(&answer{bytes: bytes, last: true})
 }
 
-// appendKnown adds an answer that is known after the pending answers, and writes it if its turn has come. The caller
-// must hold c.mu.
+// appendKnown adds an answer that is known after the pending answers, and writes it if its turn has come. While input is
+// handled, answers are written together at its end. The caller must hold c.mu.
 func (c *session) appendKnown(next *answer) {
-	c.addInFlight(len(next.bytes))
+	c.addInFlight(next.cost())
 	c.answers = append(c.answers, next)
-	c.flush()
+	if !c.handlingInput {
+		c.flush()
+	}
+}
+
+// setHandlingInput marks the beginning and the end of the handling of a piece of input.
+func (c *session) setHandlingInput(handling bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handlingInput = handling
+	if !handling {
+		c.flush()
+	}
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -25,11 +25,14 @@
 	tenantNumbers map[string]int // tenant numbers by name
 	limits        limits
 
+	input *inputScheduler
+
 	ready    atomic.Bool
 	draining atomic.Bool // the router is shutting down
 
-	inFlightBytes atomic.Int64 // sum over all sessions
-	partialBytes  atomic.Int64 // of incomplete messages on all connections
+	inFlightBytes  atomic.Int64 // sum over all sessions
+	partialBytes   atomic.Int64 // of incomplete messages on all connections
+	releasingBytes atomic.Int64 // of partialBytes, those of sessions that have been closed for them
 
 	mu         sync.Mutex
 	sessions   map[uint32]*session // by number
@@ -40,6 +43,7 @@
 type Config struct {
 	GroupNumbers, TenantNumbers map[string]int // numbers in the routing module, by the names used in commands
 	MaxConnections              int            // maximum number of open connections
+	Cores                       int            // input of that many connections is handled at once, at least one
 	MemoryLimit                 int64          // bytes that the Go runtime may use; fractions of it limit the data in flight
 }
 
@@ -50,6 +54,7 @@
 		requests:      requests,
 		groupNumbers:  config.GroupNumbers,
 		tenantNumbers: config.TenantNumbers,
+		input:         &inputScheduler{now: now, free: max(1, config.Cores)},
 		limits:        newLimits(config.MaxConnections, config.MemoryLimit),
 		sessions:      map[uint32]*session{},
 	}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -28,11 +28,12 @@
 	number uint32 // with secret, the key with which the client can cancel the session's commands
 	secret uint32
 
-	phase        atomic.Int32 // a phase; read by currentPhase, set by setPhase
-	phaseSince   atomic.Int64 // us: start of the phase
-	partialBytes atomic.Int64 // of memory that an incomplete message takes
-	partialSince atomic.Int64 // us: when the first bytes of an incomplete message arrived, 0 for none
-	noRoomSince  atomic.Int64 // us: since when the connection has had no room for the next answer and accepted none; 0 if it has
+	phase          atomic.Int32 // a phase; read by currentPhase, set by setPhase
+	phaseSince     atomic.Int64 // us: start of the phase
+	partialBytes   atomic.Int64 // of memory that an incomplete message takes
+	releasingBytes atomic.Int64 // of partialBytes, once the session has been closed for them
+	partialSince   atomic.Int64 // us: when the first bytes of an incomplete message arrived, 0 for none
+	noRoomSince    atomic.Int64 // us: since when the connection has had no room for the next answer and accepted none; 0 if it has
 
 	inFlightBytes atomic.Int64 // of commands without an answer, and of answers that the kernel has not accepted
 
@@ -40,14 +41,19 @@
 	usage      usage                     // what the session has cost
 	endReason  atomic.Pointer[endReason] // why the router ends the session; nil if the client does
 
+	handledUntil int64 // us of handling: end of the session's last turn; guarded by the scheduler's lock
+
+	waitingTurn *inputTurn // nil if the session waits for no turn; guarded by the scheduler's lock
+
 	// Used only on the reader's goroutine.
 	frames          *pgwire.FrameDecoder // nil once input is discarded
 	started         bool                 // the startup message has been handled
 	encryptionAsked bool
 
-	mu      sync.Mutex
-	answers []*answer // pending answers in the order of their commands
-	closing bool      // no more commands are accepted, and the session closes after the queued answers; never reset
+	mu            sync.Mutex
+	answers       []*answer // pending answers in the order of their commands
+	handlingInput bool      // the router's own answers are written together once the piece of input is handled
+	closing       bool      // no more commands are accepted, and the session closes after the queued answers; never reset
 }
 
 func newSession(s *Server, conn *net.TCPConn) *session {
@@ -66,7 +72,7 @@
 
 // start starts reading; events may occur before it returns.
 func (c *session) start() {
-	c.stream.Start(stream.Events{Received: c.receive, Closed: c.handleStreamEnd})
+	c.stream.Start(stream.Events{Admit: c.handleInput, Received: c.receive, Closed: c.handleStreamEnd})
 }
 
 // setPhase records the start of a phase.
@@ -84,12 +90,19 @@
 	return c.closing
 }
 
+// stopAccepting makes the session accept no more commands and wait for no turn. The caller must hold c.mu.
+func (c *session) stopAccepting() {
+	c.closing = true
+	c.server.input.skip(c)
+}
+
 // receive handles received bytes. After the router has closed its side, they are still read and discarded: closing a
 // socket with unread bytes sends a reset, which could destroy the last answer before the client reads it.
 func (c *session) receive(p []byte) {
 	at := c.server.now()
 	c.usage.bytes.Add(int64(len(p)))
-	defer func() { c.usage.handling.Add(c.server.now() - at) }()
+	c.setHandlingInput(true)
+	defer c.setHandlingInput(false)
 	if c.isClosing() {
 		readsAfterClose.Add()
 	} else {
@@ -156,7 +169,7 @@
 		c.handleQuery(at, statement)
 	case 'X': // Terminate
 		c.mu.Lock()
-		c.closing = true
+		c.stopAccepting()
 		c.mu.Unlock()
 		c.stream.Close()
 	case 'P', 'B', 'E', 'D', 'C', 'F', 'd', 'c', 'f': // the extended query protocol, function calls and copies
--- a/internal/inflight/interfaces.go
+++ b/internal/inflight/interfaces.go
@@ -14,8 +14,8 @@
 	Reject(request *Request, retryAfter int64)
 	// Fail tells the client that the command failed; it may have run.
 	Fail(request *Request)
-	// Connected reports whether the client is still connected. If it is not, RequestHandler.ClientGone is called for
-	// all of its requests.
+	// Connected reports whether the client is known to be connected. If it has disconnected, RequestHandler.ClientGone is
+	// called for all of its requests.
 	Connected() bool
 }
 
--- a/internal/serve/limits.go
+++ b/internal/serve/limits.go
@@ -27,6 +27,7 @@
 
 // resourceLimits are the limits of the process, derived from those in the platform's configuration.
 type resourceLimits struct {
+	cores             int
 	memory            int64 // bytes
 	usableMemory      int64 // bytes of memory that is left for the Go runtime
 	sockets           int
@@ -36,8 +37,10 @@
 
 // applyLimits sets the Go runtime's limits and divides the file descriptors between clients and nodes.
 func applyLimits(c platformConfig) resourceLimits {
-	if c.Limits.Cores > 0 { // one more for the poller, which is blocked in the kernel most of the time
-		runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)) + 1)
+	cores := runtime.GOMAXPROCS(0)
+	if c.Limits.Cores > 0 {
+		cores = int(math.Ceil(c.Limits.Cores))
+		runtime.GOMAXPROCS(cores + 1) // one may be in the kernel
 	}
 	memoryMB := c.Limits.MemoryMB
 	if memoryMB <= 0 {
@@ -47,7 +50,7 @@
 	if sockets <= 0 {
 		sockets = defaultSockets
 	}
-	limits := resourceLimits{memory: int64(memoryMB * (1 << 20)), sockets: sockets}
+	limits := resourceLimits{cores: cores, memory: int64(memoryMB * (1 << 20)), sockets: sockets}
 	limits.usableMemory = max(limits.memory-programMemory, int64(minUsableShare*float64(limits.memory)))
 	limits.clientConnections = int(float64(sockets-reservedSockets) * clientShare)
 	limits.nodeConnections = sockets - reservedSockets - limits.clientConnections
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -125,6 +125,7 @@
 		frontend: frontend.New(now, e, frontend.Config{
 			GroupNumbers:   catalog.GroupNumbers,
 			TenantNumbers:  catalog.TenantNumbers,
+			Cores:          limits.cores,
 			MaxConnections: limits.clientConnections,
 			MemoryLimit:    limits.usableMemory,
 		}),
--- a/internal/stream/read.go
+++ b/internal/stream/read.go
@@ -17,7 +17,7 @@
 
 // input is the state of a stream's reader.
 type input struct {
-	behindSince atomic.Int64 // Unix time in ns since when there has been more input than one read returned; 0 for none
+	behindSince atomic.Int64 // Unix time in ns since when there has been unread input at all times; 0 for none
 	handling    sync.Mutex   // held from reading bytes until the owner has handled them
 	waited      bool         // hasInput has found nothing and waitForInput has waited; used by the reader alone
 	peeked      [1]byte      // used by the reader alone
@@ -51,16 +51,16 @@
 // hasInput reports whether there may be bytes to be read, the end of the peer's stream or an error. If not, the caller
 // waits for one of them and calls it again.
 func (s *Stream) hasInput(fd uintptr) bool {
-	if s.input.waited {
-		return true
-	}
-	_, _, err := syscall.Recvfrom(int(fd), s.input.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	if !errors.Is(err, syscall.EAGAIN) {
-		return true
+	if !s.input.waited {
+		_, _, err := syscall.Recvfrom(int(fd), s.input.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(err, syscall.EAGAIN) {
+			s.input.behindSince.Store(0)
+			s.input.waited = true
+			return false
+		}
 	}
-	s.input.behindSince.Store(0)
-	s.input.waited = true
-	return false
+	s.input.behindSince.CompareAndSwap(0, time.Now().UnixNano())
+	return true
 }
 
 // readOnce reads a piece of input and passes it to the owner. It returns whether the connection has ended.
@@ -70,9 +70,6 @@
 	s.input.handling.Lock()
 	defer s.input.handling.Unlock()
 	n, err := s.readPiece(buffer[:])
-	if n == readBufferSize {
-		s.input.behindSince.CompareAndSwap(0, time.Now().UnixNano())
-	}
 	if n > 0 {
 		received(buffer[:n])
 		return false
@@ -96,7 +93,7 @@
 	defer s.input.handling.Unlock()
 }
 
-// Behind returns for how long input has arrived faster than it was read and handled, 0 if the reader has come to its end.
+// Behind returns for how long there has been unread input at all times, 0 if the reader has come to its end since.
 func (s *Stream) Behind() time.Duration {
 	since := s.input.behindSince.Load()
 	if since == 0 {
