Remove an attempt's deadline timer when the attempt ends

Change: timers can be removed, and an attempt's is when it ends. The heap keeps each timer's position; equal times may fire in another order than before, which nothing depends on.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,6 +50,7 @@
 	services     *clusterServices // nil if rollouts are disabled
 
 	requests   map[string]*inflight.Request // requests in flight, by command id
+	deadlines  map[*inflight.Attempt]*timer // of the attempts that have not ended
 	unanswered unansweredCount
 	queue      eventQueue
 	timers     timerQueue
@@ -61,6 +62,7 @@
 	return &Engine{
 		now:        now,
 		requests:   map[string]*inflight.Request{},
+		deadlines:  map[*inflight.Attempt]*timer{},
 		queue:      eventQueue{posted: make(chan struct{}, 1)},
 		unanswered: unansweredCount{reachedZero: make(chan struct{}, 1)},
 	}
@@ -80,8 +82,11 @@
 func (e *Engine) Post(at int64, handle func(now int64)) { e.queue.post(event{at, handle}) }
 
 // After calls a function on the engine's goroutine after a delay in us.
-func (e *Engine) After(delay int64, handle func(now int64)) {
-	e.timers.add(event{max(e.eventTime, e.now()) + delay, handle})
+func (e *Engine) After(delay int64, handle func(now int64)) { e.addTimer(delay, handle) }
+
+// addTimer is After with the timer as its result.
+func (e *Engine) addTimer(delay int64, handle func(now int64)) *timer {
+	return e.timers.add(event{max(e.eventTime, e.now()) + delay, handle})
 }
 
 // Run handles events and timers until Stop is called.
--- a/internal/engine/event_queue.go
+++ b/internal/engine/event_queue.go
@@ -51,14 +51,31 @@
 	}
 }
 
-// timerQueue is a heap of events that are due later, earliest first. Len, Less, Swap, Push and Pop are called only by
-// container/heap.
-type timerQueue []event
+// timer is an event that is due later.
+type timer struct {
+	event
+	position int // in the queue, -1 once it has been removed
+}
+
+// timerQueue is a heap of timers, earliest first. Len, Less, Swap, Push and Pop are called only by container/heap.
+type timerQueue []*timer
 
-func (t *timerQueue) add(timer event) { heap.Push(t, timer) }
+// add adds a timer for an event.
+func (t *timerQueue) add(ev event) *timer {
+	added := &timer{event: ev}
+	heap.Push(t, added)
+	return added
+}
 
 // pop removes the earliest timer; there must be one.
-func (t *timerQueue) pop() event { return heap.Pop(t).(event) }
+func (t *timerQueue) pop() *timer { return heap.Pop(t).(*timer) }
+
+// remove removes a timer, with all that its function references, unless it has been removed before.
+func (t *timerQueue) remove(one *timer) {
+	if one.position >= 0 {
+		heap.Remove(t, one.position)
+	}
+}
 
 // next returns the time at which the earliest timer is due; there must be one.
 func (t timerQueue) next() int64 { return t[0].at }
@@ -70,18 +87,27 @@
 func (t timerQueue) Less(i, j int) bool { return t[i].at < t[j].at }
 
 // Swap implements heap.Interface.
-func (t timerQueue) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t timerQueue) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].position = i
+	t[j].position = j
+}
 
 // Push implements heap.Interface.
-func (t *timerQueue) Push(timer any) { *t = append(*t, timer.(event)) }
+func (t *timerQueue) Push(added any) {
+	one := added.(*timer)
+	one.position = len(*t)
+	*t = append(*t, one)
+}
 
 // Pop implements heap.Interface.
 func (t *timerQueue) Pop() any {
 	last := len(*t) - 1
-	timer := (*t)[last]
-	(*t)[last] = event{} // releases what the function references
+	removed := (*t)[last]
+	(*t)[last] = nil
 	*t = (*t)[:last]
-	return timer
+	removed.position = -1
+	return removed
 }
 
 // unansweredCount counts the requests without a final answer.
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -76,6 +76,8 @@
 	if !request.EndAttempt(attempt) {
 		return
 	}
+	e.timers.remove(e.deadlines[attempt])
+	delete(e.deadlines, attempt)
 	attempt.Outcome = outcome
 	attemptOutcomes[outcome].Add()
 	e.services.attemptEnded(attempt, outcome, now)
--- a/internal/engine/router_actions.go
+++ b/internal/engine/router_actions.go
@@ -23,7 +23,7 @@
 	attempt := request.StartAttempt(node, e.eventTime, timeout, startWithin)
 	e.services.attemptStarted(node)
 	e.connections.Send(attempt)
-	e.After(attempt.Deadline-e.eventTime, func(int64) { e.abandonAttempt(attempt, routing.TimedOut) })
+	e.deadlines[attempt] = e.addTimer(attempt.Deadline-e.eventTime, func(int64) { e.abandonAttempt(attempt, routing.TimedOut) })
 }
 
 // RejectWithRetry implements routing.Actions.
