Fail a write under the id of one that may have run

Cause: an id was known only while its request had an open attempt. Once the client had gone its attempts were cancelled at once, though the node went on, and the id was forgotten; the same holds for an id whose answer was on its way. Class: an identity that ends with the connection, while its effect does not.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -33,6 +33,7 @@
 	shardByNumber map[int]*shard
 	requests      map[string]*request // requests without a final answer or with an attempt in flight
 	sessions      sessionTokens
+	executedIDs   executedIDs
 	stages        []stage
 
 	endpointList           endpointListState
@@ -112,6 +113,10 @@
 
 // RequestArrived accepts a request. From here on the Router owes it exactly one final answer.
 func (r *Router) RequestArrived(now int64, arrived Request) {
+	if r.repeatsExecuted(arrived) {
+		r.actions.Fail(arrived.ID)
+		return
+	}
 	group := r.groups[arrived.Group]
 	req := &request{
 		id:        arrived.ID,
@@ -143,6 +148,7 @@
 	if ended.ended {
 		return
 	}
+	r.recordExecution(req, result.Outcome)
 	req.done = req.done || result.RequestDone
 	took := result.Took
 	if r.stallEndedAt == now || now-r.lastSweepAt > stallThreshold {
