--- a/internal/engine/event_queue.go
+++ b/internal/engine/event_queue.go
@@ -72,7 +72,7 @@
 
 // remove removes a timer, with all that its function references, unless it has been removed before.
 func (t *timerQueue) remove(one *timer) {
-	if one.position >= 0 {
+	if one != nil && one.position >= 0 {
 		heap.Remove(t, one.position)
 	}
 }
--- a/internal/routing/client_names_test.go
+++ b/internal/routing/client_names_test.go
@@ -96,3 +96,39 @@
 	}
 }
 
+// TestUnknownShardsAreForgotten guards against memory and work that grow with each shard number that clients make up. A
+// shard whose nodes are listed late is kept while requests wait for it.
+func TestUnknownShardsAreForgotten(t *testing.T) {
+	r, actions := startCounted(true)
+	now := int64(1000)
+	const commands = 20 * maxUnlistedShards
+	for i := range commands {
+		r.RequestArrived(now, Request{ID: fmt.Sprint(i), Group: eventualRead, Tenant: -1, Shard: 10 + i, TimeLeft: 100_000})
+	}
+	for range 50 {
+		now += 20_000
+		r.TimerFired(now)
+	}
+	if shards := len(r.shards); shards > maxUnlistedShards+1 || len(r.shardByNumber) != shards {
+		t.Errorf("%d shards are kept, %d by number", shards, len(r.shardByNumber))
+	}
+	if len(actions.rejected) != commands {
+		t.Errorf("%d of %d commands were rejected", len(actions.rejected), commands)
+	}
+	r.RequestArrived(now, Request{ID: "early", Group: plainWrite, Tenant: -1, Shard: 5, TimeLeft: 1e6})
+	for i := range 2 * maxUnlistedShards {
+		r.RequestArrived(now, Request{ID: fmt.Sprint("more", i), Group: eventualRead, Tenant: -1, Shard: 10 + i, TimeLeft: 100_000})
+	}
+	now += 200_000
+	r.TimerFired(now)
+	r.BeginEndpointList(now, false)
+	r.UpdateEndpoint(now, Endpoint{Name: "late", Shard: 5, State: Up, Primary: true})
+	r.EndEndpointList(now)
+	if actions.attempts["early"] != 1 {
+		t.Errorf("%d attempts of a command whose shard was listed late", actions.attempts["early"])
+	}
+	if r.UpdateEndpoint(now, Endpoint{Name: "late", Shard: 6, State: Up}); r.unlistedShards < 0 {
+		t.Errorf("%d unlisted shards", r.unlistedShards)
+	}
+}
+
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -52,6 +52,7 @@
 // UpdateEndpoint processes one entry of a list.
 func (r *Router) UpdateEndpoint(now int64, e Endpoint) {
 	s := r.shardFor(e.Shard)
+	r.listShard(s)
 	n, known := r.nodeByName[e.Name]
 	if !known {
 		n = r.addNode(e.Name, s)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,14 +27,15 @@
 	freeSlots  []int            // slots of forgotten nodes, available for reuse
 	nodeByName map[string]*node // excludes forgotten nodes
 
-	groups        []*commandGroup
-	tenants       []*tenant
-	shards        []*shard
-	shardByNumber map[int]*shard
-	requests      map[string]*request // requests without a final answer or with an attempt in flight
-	sessions      sessionTokens
-	executedIDs   executedIDs
-	stages        []stage
+	groups         []*commandGroup
+	tenants        []*tenant
+	shards         []*shard
+	shardByNumber  map[int]*shard
+	unlistedShards int
+	requests       map[string]*request // requests without a final answer or with an attempt in flight
+	sessions       sessionTokens
+	executedIDs    executedIDs
+	stages         []stage
 
 	endpointList           endpointListState
 	healthCheckBudget      float64 // remaining budget, in health checks
@@ -204,6 +205,7 @@
 		}
 	}
 	r.dispatchAllQueued(now)
+	r.removeUnlistedShards()
 	r.pollEndpoints(now)
 	r.actions.SetTimer(sweepInterval)
 }
