Keep session tokens by a hash of the session's name

Change: the tokens are kept by a 64-bit hash; sessions with equal hashes share the higher position, so that a read may need more than necessary, never less.

Test: TestSessionNamesTakeNoMemory (500 sessions kept 50 MB before).

--- a/internal/routing/client_names_test.go
+++ b/internal/routing/client_names_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 )
 
@@ -132,3 +134,29 @@
 	}
 }
 
+// TestSessionNamesTakeNoMemory guards against session tokens that keep names as long as a message.
+func TestSessionNamesTakeNoMemory(t *testing.T) {
+	const sessions, length = 500, 100_000
+	r, _ := startCounted(false)
+	before := heapBytes()
+	now := int64(1000)
+	for i := range sessions {
+		id := fmt.Sprint(i)
+		r.RequestArrived(now, Request{ID: id, Group: plainWrite, Tenant: -1, Session: strings.Repeat("s", length) + id, TimeLeft: 1e6})
+		r.AttemptEnded(now, AttemptResult{RequestID: id, Outcome: Answered, Took: 100, RequestDone: true})
+	}
+	if grown := heapBytes() - before; grown > sessions*length/10 {
+		t.Errorf("%d sessions with names of %d bytes take %d bytes", sessions, length, grown)
+	}
+	if session := strings.Repeat("s", length) + "7"; r.sessions.position(hashSession(session)) != now {
+		t.Error("the token of a session is not found")
+	}
+}
+
+// heapBytes returns the bytes of reachable objects.
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/routing/consistency.go
+++ b/internal/routing/consistency.go
@@ -1,5 +1,7 @@
 package routing
 
+import "github.com/cespare/xxhash/v2"
+
 // Read consistency: which data a read must see, and which nodes are known to hold it.
 //
 // A node's position is the Unix time, in microseconds, up to which it holds all commits. Only positions reported by
@@ -64,8 +66,9 @@
 // answered, so the read then requires data as new as such an answer: a replica that reported its position just now, or
 // the primary.
 func (r *Router) lookUpSessionPosition(req *request, now int64) {
-	firstStarted := r.sessions.writesInFlight[req.session].firstStartedAt
-	req.sessionPosition = r.sessions.position(req.session)
+	session := hashSession(req.session)
+	firstStarted := r.sessions.writesInFlight[session].firstStartedAt
+	req.sessionPosition = r.sessions.position(session)
 	req.possiblyAnsweredWrite = firstStarted > 0 && now-firstStarted > maxReplyTransit
 }
 
@@ -82,7 +85,8 @@
 	if !r.setsToken(req) {
 		return
 	}
-	r.sessions.writeEnded(req.session)
+	session := hashSession(req.session)
+	r.sessions.writeEnded(session)
 	if outcome.NotExecuted() {
 		return
 	}
@@ -90,18 +94,25 @@
 	if outcome == Answered && a.node.positionAt == now {
 		position = a.node.position
 	}
-	r.sessions.raise(req.session, position)
+	r.sessions.raise(session, position)
 }
 
 // sessionTokens stores the position of each session's last write in two generations. Sessions that aren't found get the
 // highest position dropped from the older generation, so their reads may require more than necessary but never less. A
 // restart loses all tokens: reads are then guaranteed to see only the session's writes answered since the restart.
+//
+// Sessions are kept by a hash of their name, which clients may make as long as a message. Two sessions with equal hashes
+// share the higher position.
 type sessionTokens struct {
-	recent, older  map[string]int64
+	recent, older  map[sessionHash]int64
 	floor          int64
-	writesInFlight map[string]pendingWrites // by session
+	writesInFlight map[sessionHash]pendingWrites
 }
 
+type sessionHash uint64
+
+func hashSession(session string) sessionHash { return sessionHash(xxhash.Sum64String(session)) }
+
 // pendingWrites counts a session's writes in flight.
 type pendingWrites struct {
 	attempts       int
@@ -109,9 +120,9 @@
 }
 
 // writeStarted records that an attempt of a session's write is in flight.
-func (t *sessionTokens) writeStarted(session string, now int64) {
+func (t *sessionTokens) writeStarted(session sessionHash, now int64) {
 	if t.writesInFlight == nil {
-		t.writesInFlight = make(map[string]pendingWrites)
+		t.writesInFlight = make(map[sessionHash]pendingWrites)
 	}
 	open := t.writesInFlight[session]
 	open.attempts++
@@ -122,7 +133,7 @@
 }
 
 // writeEnded records that an attempt of a session's write has ended.
-func (t *sessionTokens) writeEnded(session string) {
+func (t *sessionTokens) writeEnded(session sessionHash) {
 	open := t.writesInFlight[session]
 	if open.attempts <= 1 {
 		delete(t.writesInFlight, session)
@@ -133,18 +144,18 @@
 }
 
 // raise sets a session's position unless it is already higher.
-func (t *sessionTokens) raise(session string, position int64) {
+func (t *sessionTokens) raise(session sessionHash, position int64) {
 	if t.recent == nil || len(t.recent) >= maxSessionTokens {
 		for _, p := range t.older {
 			t.floor = max(t.floor, p)
 		}
 		t.older = t.recent
-		t.recent = make(map[string]int64)
+		t.recent = make(map[sessionHash]int64)
 	}
 	t.recent[session] = max(position, t.recent[session])
 }
 
 // position returns the position that a session's reads must see; 0 if any.
-func (t *sessionTokens) position(session string) int64 {
+func (t *sessionTokens) position(session sessionHash) int64 {
 	return max(t.floor, t.recent[session], t.older[session])
 }
--- a/internal/routing/consistency_test.go
+++ b/internal/routing/consistency_test.go
@@ -51,12 +51,12 @@
 	h.advance(10_000)
 	write := &request{group: h.router.groups[plainWrite], session: "s"}
 	a := &attempt{request: write, node: h.node("g0n0")}
-	if h.router.recordWritePosition(a, Answered, 0, h.now); h.router.sessions.position("s") != h.now {
-		t.Errorf("token is %d us older than the answer", h.now-h.router.sessions.position("s"))
+	if h.router.recordWritePosition(a, Answered, 0, h.now); h.router.sessions.position(hashSession("s")) != h.now {
+		t.Errorf("token is %d us older than the answer", h.now-h.router.sessions.position(hashSession("s")))
 	}
 	h.observeReply("g0n0", Primary, h.now-1_000)
 	write.session = "t"
-	if h.router.recordWritePosition(a, Answered, 0, h.now); h.router.sessions.position("t") > h.now-1_000 {
+	if h.router.recordWritePosition(a, Answered, 0, h.now); h.router.sessions.position(hashSession("t")) > h.now-1_000 {
 		t.Error("token ignores the position reported in the answer")
 	}
 }
@@ -88,8 +88,8 @@
 	}
 	h.inFlight[0].canceled = true
 	h.endAttempt(0, ConnectionLost, RoleUnknown, 0)
-	if h.sessionToken != h.now || h.router.sessions.position("s") != h.now {
-		t.Errorf("token is %d us old after a write that may have been executed", h.now-h.router.sessions.position("s"))
+	if h.sessionToken != h.now || h.router.sessions.position(hashSession("s")) != h.now {
+		t.Errorf("token is %d us old after a write that may have been executed", h.now-h.router.sessions.position(hashSession("s")))
 	}
 	for len(h.inFlight) > 0 { // including the retry of the write
 		h.endAttempt(0, Answered, RoleUnknown, 0)
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -22,7 +22,7 @@
 	}
 	r.openAttempt(req, n, now)
 	if r.setsToken(req) {
-		r.sessions.writeStarted(req.session, now)
+		r.sessions.writeStarted(hashSession(req.session), now)
 	}
 	if r.capacityShare(n, now) < 1 {
 		n.credit -= req.group.avgResponseTime
