See a client's close behind its unread input

Cause: before an attempt the kernel was asked for one unread byte; if there was one the client counted as connected, whatever stood behind it. Each piece of input is asked about before its first command is admitted, and a client that has gone gets its connection closed and none of its commands sent. (If so much is unread that the FIN finds no room in the kernel, the rule on input that is behind holds.)

--- a/internal/frontend/commands.go
+++ b/internal/frontend/commands.go
@@ -37,6 +37,9 @@
 	case overLimits:
 		commandsOverLimits.Add()
 		c.rejectCommand(pgwire.CodeRejected, "too many commands in hand")
+	case clientGone:
+		commandsOfGoneClients.Add()
+		c.stream.Close()
 	case overInputRate:
 		commandsFromBehind.Add()
 		c.rejectCommand(pgwire.CodeRejected, "commands arrive faster than they are read")
@@ -79,6 +82,7 @@
 	serverDraining
 	overLimits
 	overInputRate
+	clientGone
 )
 
 // admit decides whether a request is accepted, and if so queues its pending answer.
@@ -98,6 +102,12 @@
 	if c.fallsBehind() {
 		return overInputRate
 	}
+	if !c.clientSeen {
+		if !c.stream.PeerPresent() {
+			return clientGone
+		}
+		c.clientSeen = true
+	}
 	if len(c.answers) >= maxPipelined || c.overInFlightLimit() {
 		return overLimits
 	}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -20,6 +20,7 @@
 	cancelsWithoutCommand = metrics.New("cancels without a command")
 	longestInputWait      = metrics.New("longest wait for an input turn, us")
 	commandsFromBehind    = metrics.New("commands over the input rate")
+	commandsOfGoneClients = metrics.New("commands of clients that had gone")
 	mostSessions          = metrics.New("most client connections")
 	mostInFlightBytes     = metrics.New("most bytes in flight")
 	mostPartialBytes      = metrics.New("most bytes of incomplete messages")
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -49,6 +49,7 @@
 	frames          *pgwire.FrameDecoder // nil once input is discarded
 	started         bool                 // the startup message has been handled
 	encryptionAsked bool
+	clientSeen      bool // the client was connected when the first command of this piece of input was admitted
 
 	mu            sync.Mutex
 	answers       []*answer // pending answers in the order of their commands
@@ -101,6 +102,7 @@
 func (c *session) receive(p []byte) {
 	at := c.server.now()
 	c.usage.bytes.Add(int64(len(p)))
+	c.clientSeen = false
 	c.setHandlingInput(true)
 	defer c.setHandlingInput(false)
 	if c.isClosing() {
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -108,11 +108,19 @@
 		"closed":      func(c *net.TCPConn) { c.Close() },
 		"half-closed": func(c *net.TCPConn) { c.CloseWrite() },
 		"reset":       func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+
+		"closed behind unread bytes":      func(c *net.TCPConn) { c.Write(make([]byte, 1000)); c.Close() },
+		"half-closed behind unread bytes": func(c *net.TCPConn) { c.Write(make([]byte, 1000)); c.CloseWrite() },
+		"reset behind unread bytes":       func(c *net.TCPConn) { c.Write(make([]byte, 1000)); c.SetLinger(0); c.Close() },
 	} {
 		s, peer := dialUnstarted(t)
 		if !s.PeerPresent() {
 			t.Errorf("%s: not present while connected", name)
 		}
+		peer.Write([]byte("x"))
+		if !s.PeerPresent() {
+			t.Errorf("%s: not present while connected, with an unread byte", name)
+		}
 		disconnect(peer.(*net.TCPConn))
 		for end := time.Now().Add(5 * time.Second); s.PeerPresent(); {
 			if time.Now().After(end) {
