Charge a session's turn by its input, not by the time that it took

Cause: a turn was charged the time between its begin and its end. A session whose goroutine was held up for 10 or 20 ms in its turn, by the collector or another process, was so charged with a thousand times what it had used, and waited until the others had caught up, each of 400 in turn. Change: the charge is worked out from the input: two units a message and one for 256 bytes.

--- a/internal/frontend/input_scheduling.go
+++ b/internal/frontend/input_scheduling.go
@@ -18,9 +18,17 @@
 // discardInterval is the time between two reads of input that is discarded.
 const discardInterval = 5 * time.Millisecond
 
-// newSessionCharge, us of handling, is what a session has used when it asks for its first turn, so that a client does not
-// get ahead of the others by opening a connection for each command.
-const newSessionCharge = 1_000
+// What a turn costs is worked out from the input, not from the time that it took: a session whose goroutine was held up
+// during its turn has not used more of the processor.
+const (
+	// messageCost is the cost of a message, in the unit of the scheduler: about a microsecond of handling.
+	messageCost = 2
+	// bytesPerCost is the number of bytes that cost one unit more.
+	bytesPerCost = 256
+	// newSessionCharge is what a session has used when it asks for its first turn, so that a client does not get ahead of
+	// the others by opening a connection for each command.
+	newSessionCharge = 1_000
+)
 
 // inputScheduler grants turns. Its methods may be called from any goroutine.
 type inputScheduler struct {
@@ -28,7 +36,7 @@
 
 	mu          sync.Mutex
 	free        int   // turns that may be taken at once
-	virtualTime int64 // us of handling: the start of the latest turn granted
+	virtualTime int64 // in units of cost: the start of the latest turn granted
 	turns       int64 // asked for
 	waiting     turnQueue
 }
@@ -36,7 +44,7 @@
 // inputTurn is a turn of a session that is waited for or taken.
 type inputTurn struct {
 	session *session
-	start   int64 // us of handling: the session's place in the queue
+	start   int64 // in units of cost: the session's place in the queue
 	number  int64 // decides between equal starts
 	granted chan struct{}
 	beganAt int64 // us
@@ -85,16 +93,15 @@
 	close(turn.granted)
 }
 
-// end ends a turn, and grants one to the waiting session that has used the least.
-func (s *inputScheduler) end(turn *inputTurn) {
+// end ends a turn of the given cost, and grants one to the waiting session that has used the least.
+func (s *inputScheduler) end(turn *inputTurn, cost int64) {
 	if turn.skipped {
 		return
 	}
-	spent := max(1, s.now()-turn.beganAt)
-	turn.session.usage.handling.Add(spent)
+	turn.session.usage.handling.Add(s.now() - turn.beganAt)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	turn.session.handledUntil = turn.start + spent
+	turn.session.handledUntil = turn.start + max(1, cost)
 	for len(s.waiting) > 0 {
 		next := heap.Pop(&s.waiting).(*inputTurn)
 		if next.skipped {
@@ -145,9 +152,13 @@
 		return
 	}
 	turn := c.server.input.begin(c)
+	costBefore := c.usage.cost()
 	read()
-	c.server.input.end(turn)
+	c.server.input.end(turn, c.usage.cost()-costBefore)
 }
 
+// cost returns what all input of the session has cost.
+func (u *usage) cost() int64 { return messageCost*u.messages.Load() + u.bytes.Load()/bytesPerCost }
+
 // fallsBehind reports whether the client has been sending faster than its input is handled for too long.
 func (c *session) fallsBehind() bool { return c.stream.Behind() > maxInputLag }
--- a/internal/frontend/input_scheduling_test.go
+++ b/internal/frontend/input_scheduling_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 	"testing"
 
 	"cairntiller/internal/pgwire"
@@ -12,51 +11,44 @@
 // one waits for the turn that is taken and for no other.
 func TestLightSessionGoesBeforeHeavyOnes(t *testing.T) {
 	const heavy = 5
-	var now atomic.Int64
-	scheduler := &inputScheduler{now: now.Load, free: 1}
+	scheduler := &inputScheduler{now: func() int64 { return 0 }, free: 1}
 	order := make(chan string, 100)
-	next := make(chan bool)
+	next := make(chan int64) // the cost of the turn
 	run := func(c *session, name string, turns int) {
 		for range turns {
 			turn := scheduler.begin(c)
 			order <- name
-			<-next
-			scheduler.end(turn)
+			scheduler.end(turn, <-next)
 		}
 	}
 	for i := range heavy {
 		go run(&session{}, fmt.Sprint("heavy", i), 100)
 	}
-	endTurn := func(length int64) {
-		now.Add(length)
-		next <- true
-	}
 	light := &session{handledUntil: 1} // it has had a turn
 	for round := range int64(10) {
 		for i := range int64(2*heavy + 1) {
 			<-order
 			eventually(t, "all other heavy sessions wait", func() bool { return scheduler.waitingTurns() == heavy-1 })
-			endTurn(100 + 7*i + round)
+			next <- 100 + 7*i + round
 		}
 		first := <-order
 		eventually(t, "all other heavy sessions wait", func() bool { return scheduler.waitingTurns() == heavy-1 })
 		go run(light, "light", 1)
 		eventually(t, "the light session waits too", func() bool { return scheduler.waitingTurns() == heavy })
-		endTurn(100)
+		next <- 100
 		if second := <-order; second != "light" || first == "light" {
 			t.Fatalf("%s was followed by %s", first, second)
 		}
-		endTurn(10)
+		next <- 10
 	}
 }
 
 // TestNewSessionsDoNotStarveOthers plays clients that take one turn on a connection and open a new one: a session that has
 // had a turn gets its next one all the same.
 func TestNewSessionsDoNotStarveOthers(t *testing.T) {
-	var now atomic.Int64
-	scheduler := &inputScheduler{now: now.Load, free: 1}
+	scheduler := &inputScheduler{now: func() int64 { return 0 }, free: 1}
 	old := &session{}
-	scheduler.end(scheduler.begin(old))
+	scheduler.end(scheduler.begin(old), 50)
 	current := scheduler.begin(&session{})
 	wait := func(c *session) chan *inputTurn {
 		granted := make(chan *inputTurn, 1)
@@ -68,8 +60,7 @@
 	fresh := []chan *inputTurn{wait(&session{}), wait(&session{}), wait(&session{})}
 	oldTurn := wait(old)
 	for range 20 {
-		now.Add(50)
-		scheduler.end(current)
+		scheduler.end(current, 50)
 		select {
 		case <-oldTurn:
 			return
@@ -99,7 +90,7 @@
 	if owner.Connected() {
 		t.Error("the client is said to be connected")
 	}
-	s.input.end(hold)
+	s.input.end(hold, 1)
 	if answer := readAnswer(t, c); !isError(answer, pgwire.CodeRejected) || len(s.submitted) > 0 {
 		t.Errorf("%d commands accepted, the client got %.80q", len(s.submitted), answer)
 	}
--- a/internal/frontend/presence_test.go
+++ b/internal/frontend/presence_test.go
@@ -23,7 +23,7 @@
 			writeCommands(t, c, 0, 50)
 			disconnect(c.(*net.TCPConn))
 			eventually(t, "the end has arrived", func() bool { return !owner.stream.PeerPresent() })
-			s.input.end(hold)
+			s.input.end(hold, 1)
 			eventually(t, "the session has ended", func() bool { return len(s.allSessions()) == 0 })
 			if len(s.submitted) > 0 {
 				t.Errorf("%d commands were accepted", len(s.submitted))
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -41,7 +41,7 @@
 	usage      usage                     // what the session has cost
 	endReason  atomic.Pointer[endReason] // why the router ends the session; nil if the client does
 
-	handledUntil int64 // us of handling: end of the session's last turn; guarded by the scheduler's lock
+	handledUntil int64 // in units of cost: end of the session's last turn; guarded by the scheduler's lock
 
 	waitingTurn *inputTurn // nil if the session waits for no turn; guarded by the scheduler's lock
 
