Submit commands only once it is known that their client is still connected

Cause: while over some kilobytes are unread the client's FIN may have found no room in the kernel, so that neither peek nor poll can see it, and the router submitted what it had read. Change: a stream tells present, gone or unknown; admitted commands are submitted at the end of a piece of input, at once if the client is present.

--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -3,6 +3,7 @@
 import (
 	"cairntiller/internal/inflight"
 	"cairntiller/internal/pgwire"
+	"cairntiller/internal/stream"
 )
 
 // answer is a pending answer to the client: it is not known yet, or it is held back until earlier answers are written
@@ -11,6 +12,7 @@
 	request   *inflight.Request // whose answer is not known yet; nil once it is, or if the router generated the answer
 	arrivedAt int64             // us: when its command arrived
 	bytes     []byte            // in flight from the moment the answer is known; nil for a last answer without bytes
+	submitted bool              // the request has been passed to the request handler
 	rejected  bool              // the bytes are the answers to consecutive commands that were rejected on arrival
 	last      bool              // the session is closed after it
 }
@@ -151,11 +153,16 @@
 	c.stopAccepting()
 	abandoned := c.answers
 	c.answers = nil
+	c.unsubmitted = 0
 	c.mu.Unlock()
 	for _, pending := range abandoned {
 		c.addInFlight(-pending.cost())
-		if !pending.known() {
+		switch {
+		case pending.known():
+		case pending.submitted:
 			c.server.requests.ClientGone(at, pending.request)
+		default:
+			commandsOfGoneClients.Add()
 		}
 	}
 }
@@ -179,7 +186,7 @@
 // Connected implements inflight.Client. It asks the kernel, since the end of the client's stream may not have been read
 // yet. Of a client whose input has been piling up for too long it is not known.
 func (c *session) Connected() bool {
-	if c.stream.PeerPresent() {
+	if c.stream.Peer() != stream.PeerGone {
 		return !c.fallsBehind()
 	}
 	c.abandonAnswers(c.server.now())
--- a/internal/frontend/cancel.go
+++ b/internal/frontend/cancel.go
@@ -23,11 +23,16 @@
 		c.mu.Unlock()
 		return false
 	}
-	request := next.request
+	request, submitted := next.request, next.submitted
+	if !submitted {
+		c.unsubmitted--
+	}
 	c.complete(next, pgwire.AppendError(nil, false, pgwire.CodeCanceled, "canceling statement due to user request", 0))
 	c.flush()
 	c.mu.Unlock()
 	cancelledCommands.Add()
-	c.server.requests.ClientGone(c.server.now(), request)
+	if submitted {
+		c.server.requests.ClientGone(c.server.now(), request)
+	}
 	return true
 }
--- a/internal/frontend/commands_test.go
+++ b/internal/frontend/commands_test.go
@@ -22,6 +22,7 @@
 		server.SetReady()
 		c := &session{server: server, stream: &stream.Stream{}, closing: closed}
 		c.handleQuery(1, []byte("/* id=1,c=look,d=9,cluster=0 */ SELECT 1"))
+		c.submitAdmitted()
 		if handler.submitted == 1 == closed {
 			t.Errorf("closing %v, submitted %d", closed, handler.submitted)
 		}
--- a/internal/frontend/input_scheduling.go
+++ b/internal/frontend/input_scheduling.go
@@ -149,12 +149,14 @@
 	if c.isClosing() {
 		time.Sleep(discardInterval)
 		read()
+		c.submitAdmitted() // those that were admitted before
 		return
 	}
 	turn := c.server.input.begin(c)
 	costBefore := c.usage.cost()
 	read()
 	c.server.input.end(turn, c.usage.cost()-costBefore)
+	c.submitAdmitted()
 }
 
 // cost returns what all input of the session has cost.
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -49,10 +49,10 @@
 	frames          *pgwire.FrameDecoder // nil once input is discarded
 	started         bool                 // the startup message has been handled
 	encryptionAsked bool
-	clientSeen      bool // the client was connected when the first command of this piece of input was admitted
 
 	mu            sync.Mutex
 	answers       []*answer // pending answers in the order of their commands
+	unsubmitted   int       // answers whose commands have been admitted and not yet submitted
 	handlingInput bool      // the router's own answers are written together once the piece of input is handled
 	closing       bool      // no more commands are accepted, and the session closes after the queued answers; never reset
 }
@@ -102,7 +102,6 @@
 func (c *session) receive(p []byte) {
 	at := c.server.now()
 	c.usage.bytes.Add(int64(len(p)))
-	c.clientSeen = false
 	c.setHandlingInput(true)
 	defer c.setHandlingInput(false)
 	if c.isClosing() {
