Add a soak of noisy clients from seeds, with connects and pipelines

A command is lost if it has no answer half a second after its time, or if its connection ends more than 50 ms after it was sent; what crosses the end of a connection is sent again. New connections come until 0.4 s after SIGTERM.

--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"cairntiller/internal/supervisor"
+	"cairntiller/internal/testcluster/noisyclients"
 	"cairntiller/internal/testcluster/process"
 	"cairntiller/internal/testcluster/proof"
 )
@@ -28,6 +29,7 @@
 	LeasesSimulation   leaseSimulationCommand   `cmd:"" help:"The decision module of leases in simulated time, under mixed faults and with injected bugs."`
 	Releases           releasesCommand          `cmd:"" help:"Rollout plans of router processes and nodes under load; no more may be out at once than the budget allows."`
 	ReleasesSimulation rolloutSimulationCommand `cmd:"" help:"The decision module of rollouts in simulated time, under mixed faults and with injected bugs."`
+	NoisyClients       noisyClientsCommand      `cmd:"" help:"Clients that misuse a router, beside ordinary ones, signals and a planned restart; from seeds."`
 	Child              childCommand             `cmd:"" hidden:""`
 	proof.HiddenCommands
 }
@@ -172,6 +174,19 @@
 	return printResult(proof.RolloutSimulation{From: c.From, Seeds: c.Seeds, RepeatEvery: 100, MistakeSeeds: c.Plant, VersionPairs: c.Halts, Sizes: c.Sizes, Output: os.Stdout}.Run())
 }
 
+// noisyClientsCommand runs the soak of clients that misuse a router.
+type noisyClientsCommand struct {
+	From   uint64 `default:"1" help:"First seed."`
+	Seeds  uint64 `default:"50" help:"Number of seeds, some 6 s each."`
+	Router string `type:"existingfile" default:"bin/cairntiller" help:"Executable of the router."`
+	Log    bool   `help:"Print the log of the routers."`
+}
+
+// Run runs the soak.
+func (c *noisyClientsCommand) Run() error {
+	return printResult(noisyclients.SoakProof{From: c.From, Seeds: c.Seeds, Program: c.Router, Log: logWriter(c.Log), Output: os.Stdout}.Run())
+}
+
 // parseSizes parses a comma-separated list of sizes, such as 3x10,30x1000.
 func parseSizes(text string) (all [][2]int, err error) {
 	if text == "" {
@@ -199,6 +214,7 @@
 }
 
 func main() {
+	noisyclients.ChildMain()
 	var commands commandLine
 	ctx := kong.Parse(&commands, kong.Name("proof"), kong.Description("Runs system tests of the project's subsystems."), kong.UsageOnError())
 	if err := ctx.Run(); err != nil {
--- a/internal/testcluster/noisyclients/load.go
+++ b/internal/testcluster/noisyclients/load.go
@@ -1,6 +1,7 @@
 package noisyclients
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -31,6 +32,8 @@
 	LongKeys        Load = "long keys"  // sound reads and writes with large keys
 	UnreadAnswers   Load = "no reading" // empty queries whose answers are not read
 	Reconnects      Load = "reconnects" // a connection for each command, closed before its answer
+	Connects        Load = "connects"   // connections that are closed at once
+	Pipelines       Load = "pipelines"  // sound reads, many at once on each of many connections
 )
 
 const (
@@ -42,6 +45,7 @@
 	dripInterval     = 100 * time.Millisecond
 	longKey          = 100_000 // bytes
 	messagesPerWrite = 200
+	pipelineDepth    = 64
 )
 
 // Run plays the load against a router until stop is closed.
@@ -78,6 +82,10 @@
 		return (*noisyClient).dripCommand, slowConnections
 	case Reconnects:
 		return (*noisyClient).sendAndClose, fastConnections
+	case Connects:
+		return func(*noisyClient) error { return nil }, fastConnections
+	case Pipelines:
+		return (*noisyClient).sendPipeline, slowConnections
 	case NoLoad:
 		return nil, 0
 	}
@@ -229,6 +237,25 @@
 	return pgwire.AppendQuery(to, "") // EmptyQueries, UnreadAnswers
 }
 
+// sendPipeline sends many reads at once, again and again as they are answered.
+func (c *noisyClient) sendPipeline() error {
+	answers := bufio.NewReader(c.conn)
+	for {
+		var messages []byte
+		for range pipelineDepth {
+			messages = c.appendMessage(messages, NewIDs)
+		}
+		if _, err := c.conn.Write(messages); err != nil {
+			return err
+		}
+		for range pipelineDepth {
+			if _, err := readAnswer(answers); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 // sendAndClose sends a read and closes the connection shortly after.
 func (c *noisyClient) sendAndClose() error {
 	if _, err := c.conn.Write(c.appendMessage(nil, NewIDs)); err != nil {
--- a/internal/testcluster/noisyclients/ordinary.go
+++ b/internal/testcluster/noisyclients/ordinary.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairntiller/internal/pgwire"
@@ -46,18 +47,31 @@
 	}
 }
 
-// ordinaryClients runs clients that send one command at a time until stop is closed.
-func ordinaryClients(address string, count int, stop <-chan struct{}) Seen {
+// crossingTime is how long after a command was sent the end of its connection may arrive that the router had decided on
+// before it read the command. The client then sends the command again on a new connection.
+const crossingTime = 50 * time.Millisecond
+
+// ordinaryGroup is what the clients of a play have in common.
+type ordinaryGroup struct {
+	address     string
+	longestWait time.Duration // of writes
+	stop        <-chan struct{}
+	draining    atomic.Bool // the router has been told to end: it closes connections between commands
+	frontMoved  atomic.Bool // the front sends new connections to other routers
+}
+
+// run runs clients that send one command at a time until stop is closed.
+func (g *ordinaryGroup) run(count int) Seen {
 	var mu sync.Mutex
 	var total Seen
 	var all sync.WaitGroup
 	for i := range count {
 		all.Go(func() {
-			c := &ordinaryClient{address: address, number: i}
+			c := &ordinaryClient{group: g, number: i}
 			defer c.close()
 			for {
 				select {
-				case <-stop:
+				case <-g.stop:
 					mu.Lock()
 					total = total.add(c.seen)
 					mu.Unlock()
@@ -74,10 +88,10 @@
 
 // ordinaryClient sends one command at a time and reconnects when its connection has ended.
 type ordinaryClient struct {
-	address string
-	number  int
-	conn    net.Conn
-	seen    Seen
+	group  *ordinaryGroup
+	number int
+	conn   net.Conn
+	seen   Seen
 }
 
 func (c *ordinaryClient) close() {
@@ -90,7 +104,7 @@
 // deadline returns how long the client waits for its next answer, and the command's class.
 func (c *ordinaryClient) deadline() (time.Duration, string) {
 	if (c.seen.Sent+c.number)%4 == 0 {
-		return 1358 * time.Millisecond, cluster.ClassWrite
+		return c.group.longestWait, cluster.ClassWrite
 	}
 	return 322 * time.Millisecond, cluster.ClassReadAny
 }
@@ -109,7 +123,7 @@
 // command whose connection ends is lost, unless an error says why.
 func (c *ordinaryClient) sendOne() {
 	timeout, class := c.deadline()
-	if c.conn == nil && c.connect() != nil {
+	if c.conn == nil && (c.group.frontMoved.Load() || c.connect() != nil) {
 		time.Sleep(retryPause)
 		return
 	}
@@ -123,12 +137,16 @@
 		code, err = readAnswer(c.conn)
 	}
 	took := time.Since(began)
-	c.seen.Longest = max(c.seen.Longest, took)
 	if err != nil {
-		c.seen.Lost++
 		c.close()
+		if c.group.draining.Load() && took < crossingTime {
+			c.seen.Sent--
+			return
+		}
+		c.seen.Lost++
 		return
 	}
+	c.seen.Longest = max(c.seen.Longest, took)
 	if took > timeout+lateAfter {
 		c.seen.Late++
 	}
@@ -146,7 +164,7 @@
 }
 
 func (c *ordinaryClient) connect() error {
-	conn, err := net.DialTimeout("tcp", c.address, time.Second)
+	conn, err := net.DialTimeout("tcp", c.group.address, time.Second)
 	if err != nil {
 		return err
 	}
@@ -170,7 +188,7 @@
 
 // readAnswer reads up to ReadyForQuery and returns the SQLSTATE of an error, "" for none. A fatal error, after which the
 // connection ends, is a whole answer too.
-func readAnswer(conn net.Conn) (code string, err error) {
+func readAnswer(conn io.Reader) (code string, err error) {
 	header := make([]byte, 5)
 	for {
 		if _, err := io.ReadFull(conn, header); err != nil {
--- a/internal/testcluster/noisyclients/play.go
+++ b/internal/testcluster/noisyclients/play.go
@@ -18,6 +18,7 @@
 	coresPerNode       = 3
 	workPerCommand     = 80 * time.Millisecond
 	ordinaryPerRouter  = 12
+	longestWait        = 1358 * time.Millisecond // of the ordinary clients
 	settleBeforeAnyone = 500 * time.Millisecond
 )
 
@@ -86,7 +87,8 @@
 func ordinaryFor(address string, length time.Duration) Seen {
 	stop := make(chan struct{})
 	time.AfterFunc(length, func() { close(stop) })
-	return ordinaryClients(address, ordinaryPerRouter, stop)
+	clients := &ordinaryGroup{address: address, longestWait: longestWait, stop: stop}
+	return clients.run(ordinaryPerRouter)
 }
 
 // The arguments of a process that plays a load; see ChildMain.
