Close a session only between pieces of input

Change: a session that handles input is closed at the end of the piece.

Test: TestDrainWaitsForInputBeingHandled failed before (the session closed while it handled input).

--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -133,7 +133,8 @@
 	return nil
 }
 
-// closeIfAllAnswered closes the session if it has no pending answers.
+// closeIfAllAnswered closes the session if it has no pending answers and is not just handling input, in which there may be
+// a command that was read and has no answer yet.
 func (c *session) closeIfAllAnswered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -141,7 +142,7 @@
 }
 
 func (c *session) closeIfAllAnsweredLocked() {
-	if len(c.answers) == 0 && !c.closing {
+	if len(c.answers) == 0 && !c.closing && !c.handlingInput {
 		c.stopAccepting()
 		c.setPhase(phaseClosing)
 		c.stream.CloseGracefully()
--- a/internal/frontend/held_answers_test.go
+++ b/internal/frontend/held_answers_test.go
@@ -153,3 +153,22 @@
 		}
 	}
 }
+
+// TestDrainWaitsForInputBeingHandled guards against commands that were read and get no answer, since the router begins to
+// drain in the middle of the piece of input that they came in.
+func TestDrainWaitsForInputBeingHandled(t *testing.T) {
+	s := startServer(t, 192<<20)
+	c := s.dial(t)
+	s.send(t, c, 0, 1)[0].Fail()
+	readAnswer(t, c)
+	owner := s.onlySession(t)
+	owner.setHandlingInput(true)
+	s.BeginDrain()
+	if owner.isClosing() {
+		t.Error("the session closes while it handles input")
+	}
+	owner.setHandlingInput(false)
+	if !owner.isClosing() {
+		t.Error("the session stays open after its input was handled")
+	}
+}
--- a/internal/frontend/router_answers.go
+++ b/internal/frontend/router_answers.go
@@ -109,7 +109,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handlingInput = handling
-	if !handling {
-		c.flush()
+	if handling {
+		return
+	}
+	c.flush()
+	if c.server.draining.Load() && c.currentPhase() != phaseNew {
+		c.closeIfAllAnsweredLocked()
 	}
 }
