Leave keep-alive off on clients' and nodes' connections, as before

The standard library turns the kernel's keep-alive on for each connection, with three system calls; the former network library did not, and commands' deadlines notice silence long before. Package stream listens and dials with it off. Tests of the packages pass; behaviour is otherwise as before.

--- a/internal/engine/router_harness_test.go
+++ b/internal/engine/router_harness_test.go
@@ -14,6 +14,7 @@
 	"cairntiller/internal/pgwire"
 	"cairntiller/internal/routing"
 	"cairntiller/internal/settings"
+	"cairntiller/internal/stream"
 	"cairntiller/internal/testcluster/scriptedserver"
 )
 
@@ -43,7 +44,7 @@
 	e.Attach(r, pool)
 	front := frontend.New(now, e, frontend.Config{GroupNumbers: catalog.GroupNumbers, TenantNumbers: catalog.TenantNumbers, MaxConnections: maxConnections,
 		MemoryLimit: 32 << 20})
-	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	ln, err := stream.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -16,6 +16,9 @@
 // A session whose client has disconnected is removed from the server's list in any phase. Once the router has decided
 // to close a session, no further commands are accepted on it (session.closing), even if answers are still pending.
 //
+// Input is handled in turns (input_scheduling.go). A command is first admitted, which gives it its place among the answers,
+// and at the end of the piece of input submitted, if its client is known to be connected (commands.go).
+//
 // An answer that is known is held back until those of earlier commands are written and the connection has room for it:
 // behind a slow command many may become due at once. The connection of a client that reads too slowly is closed: one
 // that has no room, and accepts no answer, for a time. Commands and answers count as in flight until the kernel has
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -14,6 +14,7 @@
 	"cairntiller/internal/inflight"
 	"cairntiller/internal/metrics"
 	"cairntiller/internal/pgwire"
+	"cairntiller/internal/stream"
 	"cairntiller/internal/testcluster/scriptedserver"
 )
 
@@ -47,7 +48,7 @@
 // serveOnLoopback lets a server accept commands and returns its address.
 func serveOnLoopback(t *testing.T, s *Server) string {
 	t.Helper()
-	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	ln, err := stream.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -42,9 +42,9 @@
 	usage      usage                     // what the session has cost
 	endReason  atomic.Pointer[endReason] // why the router ends the session; nil if the client does
 
-	handledUntil int64 // in units of cost: end of the session's last turn; guarded by the scheduler's lock
-
-	waitingTurn *inputTurn // nil if the session waits for no turn; guarded by the scheduler's lock
+	// Guarded by the scheduler's lock.
+	handledUntil int64      // in units of cost: end of the session's last turn
+	waitingTurn  *inputTurn // nil if the session waits for no turn
 
 	// Used only on the reader's goroutine.
 	frames          *pgwire.FrameDecoder // nil once input is discarded
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -20,6 +20,7 @@
 	"cairntiller/internal/metrics"
 	"cairntiller/internal/routing"
 	"cairntiller/internal/settings"
+	"cairntiller/internal/stream"
 )
 
 // knownListDelay, in us, is how long the router waits for discovery's list before it applies the older list in its
@@ -72,11 +73,7 @@
 	}
 	r.operatorFile = operatorFile
 	r.config = loaded.platform
-	address, err := net.ResolveTCPAddr("tcp", platform.Listen)
-	if err != nil {
-		return err
-	}
-	ln, err := net.ListenTCP("tcp", address)
+	ln, err := stream.Listen(platform.Listen)
 	if err != nil {
 		return err
 	}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -19,6 +19,7 @@
 package stream
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -79,15 +80,29 @@
 	closed      bool
 }
 
+// noKeepAlive turns the kernel's keep-alive off: silence is noticed by the deadlines of commands, long before.
+const noKeepAlive = -1
+
 // Dial opens a connection. It blocks for at most the timeout.
 func Dial(address string, timeout time.Duration) (*net.TCPConn, error) {
-	conn, err := net.DialTimeout("tcp", address, timeout)
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: noKeepAlive}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	return conn.(*net.TCPConn), nil
 }
 
+// Listen listens for connections that New takes over.
+func Listen(address string) (*net.TCPListener, error) {
+	config := net.ListenConfig{KeepAlive: noKeepAlive}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return listener.(*net.TCPListener), nil
+}
+
 // New returns a stream that takes over a connection. Nothing is read before Start.
 func New(conn *net.TCPConn) *Stream {
 	s := &Stream{conn: conn, fd: -1}
--- a/internal/testcluster/noisyclients/leaving.go
+++ b/internal/testcluster/noisyclients/leaving.go
@@ -49,16 +49,11 @@
 
 // Run plays it.
 func (p LeavingClients) Run() (result LeavingResult, err error) {
-	c, err := cluster.NewFromConfig(cluster.Config{Seed: p.Seed, Shards: 1, NodesPerShard: 3, RouterProgram: p.Program})
+	c, router, err := startRouter(cluster.Config{Seed: p.Seed, Shards: 1, NodesPerShard: 3, RouterProgram: p.Program}, p.Log)
 	if err != nil {
 		return result, err
 	}
 	defer c.Close()
-	router, err := c.StartRouter("n0", 1, "", p.Log, "run")
-	if err != nil {
-		return result, err
-	}
-	time.Sleep(settleBeforeAnyone)
 	random := rand.New(rand.NewPCG(p.Seed, 3))
 	clients := make([]*leavingClient, p.Clients)
 	for i := range clients {
--- a/internal/testcluster/noisyclients/play.go
+++ b/internal/testcluster/noisyclients/play.go
@@ -1,6 +1,7 @@
 package noisyclients
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -46,26 +47,40 @@
 	return fmt.Sprintf("peak %d MB, during %+v, after %+v, violations %q", r.PeakMemory>>20, r.During, r.After, r.Violations)
 }
 
-// Run plays it.
-func (p Play) Run() (result Result, err error) {
-	c, err := cluster.NewFromConfig(cluster.Config{
-		Seed:           p.Seed,
+// startRouter starts a cluster with one router, and waits until the router has learned its nodes.
+func startRouter(config cluster.Config, log io.Writer) (*cluster.Cluster, *cluster.Router, error) {
+	c, err := cluster.NewFromConfig(config)
+	if err != nil {
+		return nil, nil, err
+	}
+	router, err := c.StartRouter("n0", 1, "", log, "run")
+	if err != nil {
+		return nil, nil, errors.Join(err, c.Close())
+	}
+	time.Sleep(settleBeforeAnyone)
+	return c, router, nil
+}
+
+// busyNodes is the configuration of a cluster whose nodes take their time.
+func busyNodes(seed uint64, memoryMB int, program string) cluster.Config {
+	return cluster.Config{
+		Seed:           seed,
 		Shards:         shards,
 		NodesPerShard:  nodesPerShard,
 		CoresPerNode:   coresPerNode,
 		WorkPerCommand: workPerCommand,
-		RouterMemoryMB: p.MemoryMB,
-		RouterProgram:  p.Program,
-	})
-	if err != nil {
-		return result, err
+		RouterMemoryMB: memoryMB,
+		RouterProgram:  program,
 	}
-	defer c.Close()
-	router, err := c.StartRouter("n0", 1, "", p.Log, "run")
+}
+
+// Run plays it.
+func (p Play) Run() (result Result, err error) {
+	c, router, err := startRouter(busyNodes(p.Seed, p.MemoryMB, p.Program), p.Log)
 	if err != nil {
 		return result, err
 	}
-	time.Sleep(settleBeforeAnyone)
+	defer c.Close()
 	end, err := p.StartLoad(router.Address)
 	if err != nil {
 		return result, err
--- a/internal/testcluster/noisyclients/soak.go
+++ b/internal/testcluster/noisyclients/soak.go
@@ -87,24 +87,11 @@
 func (s Soak) Run() (line string, err error) {
 	random := rand.New(rand.NewPCG(s.Seed, 5))
 	plan := newSoakPlan(random)
-	c, err := cluster.NewFromConfig(cluster.Config{
-		Seed:           s.Seed,
-		Shards:         shards,
-		NodesPerShard:  nodesPerShard,
-		CoresPerNode:   coresPerNode,
-		WorkPerCommand: workPerCommand,
-		RouterMemoryMB: plan.memoryMB,
-		RouterProgram:  s.Program,
-	})
+	c, router, err := startRouter(busyNodes(s.Seed, plan.memoryMB, s.Program), s.Log)
 	if err != nil {
 		return "", err
 	}
 	defer c.Close()
-	router, err := c.StartRouter("n0", 1, "", s.Log, "run")
-	if err != nil {
-		return "", err
-	}
-	time.Sleep(settleBeforeAnyone)
 	stop := make(chan struct{})
 	clients := &ordinaryGroup{address: router.Address, longestWait: soakWait, stop: stop}
 	seen := make(chan Seen, 1)
