Close a connection without waiting for its reader

Found by reading the whole change: the standard library's Close waits until a read or write in progress has returned, and the engine closes node connections on its own goroutine, so each close waited there for another goroutine to be scheduled. The connection is now closed on a goroutine of its own, except at the reader's own end; that nothing is written or read after Close holds as before. Tests of stream, backend, engine and frontend pass.

--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -64,16 +64,24 @@
 	s.Close()
 }
 
-// Close closes the connection at once.
+// Close closes the connection at once. It does not wait: the standard library's Close does, for a read or a write in
+// progress to return.
 func (s *Stream) Close() {
+	if s.markClosed() {
+		go s.conn.Close()
+	}
+}
+
+// markClosed makes the stream closed, and returns whether the caller has to close the connection.
+func (s *Stream) markClosed() bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
 	s.closing = true
-	closed := s.closed
 	s.closed = true
-	s.mu.Unlock()
-	if !closed {
-		s.conn.Close()
-	}
+	return true
 }
 
 // WriteSideClosed reports whether nothing more will be sent: the stream is closing and all queued bytes are written, or
--- a/internal/stream/read.go
+++ b/internal/stream/read.go
@@ -19,7 +19,7 @@
 type input struct {
 	behindSince atomic.Int64 // Unix time in ns since when there has been unread input at all times; 0 for none
 	handling    sync.Mutex   // held from reading bytes until the owner has handled them
-	waited      bool         // hasInput has found nothing and waitForInput has waited; used by the reader alone
+	waited      bool         // hasInput has found nothing, so that the next call follows a wait; used by the reader alone
 	peeked      [1]byte      // used by the reader alone
 }
 
@@ -44,7 +44,9 @@
 			ended = true
 		}
 	}
-	s.Close()
+	if s.markClosed() {
+		s.conn.Close()
+	}
 	events.Closed()
 }
 
