--- a/internal/engine/request_log.go
+++ b/internal/engine/request_log.go
@@ -13,14 +13,14 @@
 // maxLoggedID is how much of a command's id is logged, in bytes.
 const maxLoggedID = 64
 
-// Reasons of commands that never reached the routing module.
+// Where it was decided that a command ends without a value.
 const (
 	reasonDuplicateID = "an id that is in flight"
 	reasonRouting     = "routing"
 )
 
 // logConcluded logs a command that ended without a value: how it was tried and how its last attempt ended.
-func (e *Engine) logConcluded(log *eventlog.Log, request *inflight.Request, reason string, now int64) {
+func logConcluded(log *eventlog.Log, request *inflight.Request, reason string, now int64) {
 	if !log.Allow() {
 		return
 	}
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -38,7 +38,7 @@
 	if e.requests[command.ID] != nil {
 		duplicateIDs.Add()
 		request.Fail()
-		e.logConcluded(failedLog, request, reasonDuplicateID, now)
+		logConcluded(failedLog, request, reasonDuplicateID, now)
 		e.unanswered.add(-1)
 		return
 	}
--- a/internal/engine/router_actions.go
+++ b/internal/engine/router_actions.go
@@ -31,7 +31,7 @@
 	request := a.engine.requests[requestID]
 	if invariant.Check(request != nil, "a rejected request is in flight") {
 		request.Reject(retryAfter)
-		a.engine.logConcluded(rejectedLog, request, reasonRouting, a.engine.eventTime)
+		logConcluded(rejectedLog, request, reasonRouting, a.engine.eventTime)
 		a.engine.requestConcluded(request)
 	}
 }
@@ -41,7 +41,7 @@
 	request := a.engine.requests[requestID]
 	if invariant.Check(request != nil, "a failed request is in flight") {
 		request.Fail()
-		a.engine.logConcluded(failedLog, request, reasonRouting, a.engine.eventTime)
+		logConcluded(failedLog, request, reasonRouting, a.engine.eventTime)
 		a.engine.requestConcluded(request)
 	}
 }
--- a/internal/frontend/input_scheduling.go
+++ b/internal/frontend/input_scheduling.go
@@ -159,8 +159,5 @@
 	c.submitAdmitted()
 }
 
-// cost returns what all input of the session has cost.
-func (u *usage) cost() int64 { return messageCost*u.messages.Load() + u.bytes.Load()/bytesPerCost }
-
 // fallsBehind reports whether the client has been sending faster than its input is handled for too long.
 func (c *session) fallsBehind() bool { return c.stream.Behind() > maxInputLag }
--- a/internal/frontend/session_log.go
+++ b/internal/frontend/session_log.go
@@ -1,10 +1,6 @@
 package frontend
 
-import (
-	"sync/atomic"
-
-	"cairntiller/internal/eventlog"
-)
+import "cairntiller/internal/eventlog"
 
 // endReason says why a session ended; it is logged.
 type endReason string
@@ -21,14 +17,6 @@
 
 var endLog = eventlog.New("client connection closed")
 
-// usage counts what a session has cost. It is read by other goroutines.
-type usage struct {
-	bytes    atomic.Int64 // received
-	messages atomic.Int64 // received, complete ones
-	commands atomic.Int64 // admitted
-	handling atomic.Int64 // us spent on handling input
-}
-
 // setEndReason records why the router ends the session. The first reason counts.
 func (c *session) setEndReason(reason endReason) { c.endReason.CompareAndSwap(nil, &reason) }
 
--- a/internal/frontend/usage.go
+++ b/internal/frontend/usage.go
@@ -1,5 +1,18 @@
 package frontend
 
+import "sync/atomic"
+
+// usage counts what a session has cost. It is read by other goroutines.
+type usage struct {
+	bytes    atomic.Int64 // received
+	messages atomic.Int64 // received, complete ones
+	commands atomic.Int64 // admitted
+	handling atomic.Int64 // us spent on handling input
+}
+
+// cost returns what all input of the session has cost.
+func (u *usage) cost() int64 { return messageCost*u.messages.Load() + u.bytes.Load()/bytesPerCost }
+
 // MemoryOwners returns, as attributes for a log record, what client connections hold in memory, and which of them holds
 // the most.
 func (s *Server) MemoryOwners() []any {
--- a/internal/testcluster/client/client.go
+++ b/internal/testcluster/client/client.go
@@ -65,7 +65,7 @@
 	}
 	c.SetDeadline(time.Now().Add(s.timeout))
 	if _, err = c.Write(pgwire.AppendStartup(nil, pgwire.User, pgwire.Database)); err == nil {
-		err = readReply(c, func(pgwire.Frame) {})
+		err = ReadReply(c, func(pgwire.Frame) {})
 	}
 	if err != nil {
 		c.Close()
@@ -75,8 +75,8 @@
 	return nil
 }
 
-// readReply reads messages up to ReadyForQuery and calls handle for each message before it.
-func readReply(c net.Conn, handle func(pgwire.Frame)) error {
+// ReadReply reads messages up to ReadyForQuery and calls handle for each message before it.
+func ReadReply(c io.Reader, handle func(pgwire.Frame)) error {
 	header := make([]byte, 5)
 	for {
 		if _, err := io.ReadFull(c, header); err != nil {
@@ -106,7 +106,7 @@
 	ready := false
 	_, err := s.conn.Write(pgwire.AppendQuery(nil, ""))
 	if err == nil {
-		err = readReply(s.conn, func(f pgwire.Frame) { ready = ready || f.Type == 'I' })
+		err = ReadReply(s.conn, func(f pgwire.Frame) { ready = ready || f.Type == 'I' })
 	}
 	if err != nil {
 		s.Close()
@@ -160,7 +160,7 @@
 	query := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d */ %s", id, class, s.timeout.Milliseconds(), shard, text)
 	rows := 0
 	if _, err = s.conn.Write(pgwire.AppendQuery(nil, query)); err == nil {
-		err = readReply(s.conn, func(f pgwire.Frame) {
+		err = ReadReply(s.conn, func(f pgwire.Frame) {
 			switch f.Type {
 			case 'D':
 				rows++
@@ -169,7 +169,7 @@
 				}
 			case 'E':
 				rows++
-				a.ErrorCode = errorCode(f.Body)
+				a.ErrorCode = ErrorCode(f.Body)
 			}
 		})
 	}
@@ -187,8 +187,8 @@
 	return a, err
 }
 
-// errorCode returns the SQLSTATE of an ErrorResponse, "" if it has none.
-func errorCode(body []byte) string {
+// ErrorCode returns the SQLSTATE of an ErrorResponse, "" if it has none.
+func ErrorCode(body []byte) string {
 	for len(body) > 1 {
 		end := 1
 		for end < len(body) && body[end] != 0 {
--- a/internal/testcluster/noisyclients/load.go
+++ b/internal/testcluster/noisyclients/load.go
@@ -49,11 +49,11 @@
 )
 
 // Run plays the load against a router until stop is closed.
-func (l Load) Run(address string, seed uint64, stop <-chan struct{}) error {
+func (l Load) Run(address string, seed uint64, stop <-chan struct{}) {
 	send, connections := l.sender()
 	if send == nil {
 		<-stop
-		return nil
+		return
 	}
 	var all sync.WaitGroup
 	for i := range connections {
@@ -68,7 +68,6 @@
 		})
 	}
 	all.Wait()
-	return nil
 }
 
 // sender returns the function that uses one connection until it fails, and the number of connections; nil for no load.
@@ -99,6 +98,7 @@
 	sent    int
 	random  *rand.Rand
 	conn    net.Conn
+	closed  chan struct{} // closed with conn
 	stop    <-chan struct{}
 }
 
@@ -125,10 +125,15 @@
 	if err != nil {
 		return err
 	}
+	closed := make(chan struct{})
 	c.conn = conn
+	c.closed = closed
 	go func() {
-		<-c.stop
-		conn.Close()
+		select {
+		case <-c.stop:
+			conn.Close()
+		case <-closed:
+		}
 	}()
 	_, err = conn.Write(pgwire.AppendStartup(nil, pgwire.User, pgwire.Database))
 	return err
@@ -138,6 +143,7 @@
 	if c.conn != nil {
 		c.conn.Close()
 		c.conn = nil
+		close(c.closed)
 	}
 }
 
--- a/internal/testcluster/noisyclients/noisyclients_test.go
+++ b/internal/testcluster/noisyclients/noisyclients_test.go
@@ -46,13 +46,12 @@
 	t.Helper()
 	const seed = 1
 	play := Play{
-		Load:      load,
-		Seed:      seed,
-		MemoryMB:  memoryMB,
-		Length:    2 * time.Second,
-		Program:   routerProgram,
-		Log:       routerLog(),
-		StartLoad: StartInProcess(load, seed),
+		Load:     load,
+		Seed:     seed,
+		MemoryMB: memoryMB,
+		Length:   2 * time.Second,
+		Program:  routerProgram,
+		Log:      routerLog(),
 	}
 	result, err := play.Run()
 	if err != nil {
--- a/internal/testcluster/noisyclients/ordinary.go
+++ b/internal/testcluster/noisyclients/ordinary.go
@@ -1,8 +1,7 @@
 package noisyclients
 
 import (
-	"bytes"
-	"encoding/binary"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 	"time"
 
 	"cairntiller/internal/pgwire"
+	"cairntiller/internal/testcluster/client"
 	"cairntiller/internal/testcluster/cluster"
 )
 
@@ -174,52 +174,29 @@
 		return err
 	}
 	c.conn = conn
-	if _, err = readAnswer(conn); err != nil {
+	code, err := readAnswer(conn)
+	if err == nil && code != "" {
+		err = errRefused
+	}
+	if err != nil {
 		c.close()
 	}
 	return err
 }
 
-// errLength reports a message with an impossible length.
-var errLength = errors.New("impossible message length")
-
-// maxAnswer is the largest message that a router may send, bytes.
-const maxAnswer = 1 << 20
+// errRefused reports that the router has ended a new connection with an error, before a command was sent on it.
+var errRefused = errors.New("connection refused by the router")
 
 // readAnswer reads up to ReadyForQuery and returns the SQLSTATE of an error, "" for none. A fatal error, after which the
 // connection ends, is a whole answer too.
 func readAnswer(conn io.Reader) (code string, err error) {
-	header := make([]byte, 5)
-	for {
-		if _, err := io.ReadFull(conn, header); err != nil {
-			if code != "" {
-				return code, nil
-			}
-			return "", err
-		}
-		size := int(binary.BigEndian.Uint32(header[1:])) - 4
-		if size < 0 || size > maxAnswer {
-			return "", errLength
-		}
-		body := make([]byte, size)
-		if _, err := io.ReadFull(conn, body); err != nil {
-			return "", err
-		}
-		switch header[0] {
-		case 'E':
-			code = sqlState(body)
-		case 'Z':
-			return code, nil
-		}
-	}
-}
-
-// sqlState returns the code of an ErrorResponse, "none" if it has none.
-func sqlState(body []byte) string {
-	for field := range bytes.SplitSeq(body, []byte{0}) {
-		if len(field) > 0 && field[0] == 'C' {
-			return string(field[1:])
+	err = client.ReadReply(conn, func(message pgwire.Frame) {
+		if message.Type == 'E' {
+			code = cmp.Or(client.ErrorCode(message.Body), "none")
 		}
+	})
+	if code != "" && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return code, nil
 	}
-	return "none"
+	return code, err
 }
--- a/internal/testcluster/noisyclients/play.go
+++ b/internal/testcluster/noisyclients/play.go
@@ -31,8 +31,6 @@
 	Length   time.Duration // of the load
 	Program  string        // executable of the router
 	Log      io.Writer     // of the router
-	// StartLoad starts the load in another process and returns a function that ends it.
-	StartLoad func(address string) (end func(), err error)
 }
 
 // Result is what a play has shown.
@@ -81,7 +79,7 @@
 		return result, err
 	}
 	defer c.Close()
-	end, err := p.StartLoad(router.Address)
+	end, err := startLoad(p.Load, p.Seed, router.Address)
 	if err != nil {
 		return result, err
 	}
@@ -109,32 +107,31 @@
 // The arguments of a process that plays a load; see ChildMain.
 const childArgument = "noisy-clients-load"
 
-// StartInProcess returns a Play.StartLoad that runs the load in a process of this program, which must call ChildMain.
-func StartInProcess(l Load, seed uint64) func(address string) (end func(), err error) {
-	return func(address string) (func(), error) {
-		program, err := os.Executable()
-		if err != nil {
-			return nil, err
-		}
-		cmd := exec.Command(program, childArgument, string(l), address, strconv.FormatUint(seed, 10))
-		cmd.Stderr = os.Stderr
-		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		input, err := cmd.StdinPipe()
-		if err != nil {
-			return nil, err
-		}
-		if err := cmd.Start(); err != nil {
-			return nil, err
-		}
-		return func() {
-			input.Close()
-			time.AfterFunc(2*time.Second, func() { cmd.Process.Kill() })
-			cmd.Wait()
-		}, nil
+// startLoad starts a load in another process of this program, which must call ChildMain, and returns a function that ends
+// it.
+func startLoad(l Load, seed uint64, address string) (end func(), err error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(program, childArgument, string(l), address, strconv.FormatUint(seed, 10))
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	input, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
 	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	return func() {
+		input.Close()
+		time.AfterFunc(2*time.Second, func() { cmd.Process.Kill() })
+		cmd.Wait()
+	}, nil
 }
 
-// ChildMain plays a load and exits if the program was started by StartInProcess; otherwise it returns. The load ends
+// ChildMain plays a load and exits if the program was started by startLoad; otherwise it returns. The load ends
 // when standard input does.
 func ChildMain() {
 	if len(os.Args) != 5 || os.Args[1] != childArgument {
@@ -150,9 +147,6 @@
 		io.Copy(io.Discard, os.Stdin)
 		close(stop)
 	}()
-	if err := Load(os.Args[2]).Run(os.Args[3], seed, stop); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	Load(os.Args[2]).Run(os.Args[3], seed, stop)
 	os.Exit(0)
 }
--- a/internal/testcluster/noisyclients/soak.go
+++ b/internal/testcluster/noisyclients/soak.go
@@ -113,7 +113,7 @@
 // returned function is called.
 func playLoads(loads []Load, router *cluster.Router, seed uint64, random *rand.Rand) (endLast func(), err error) {
 	for i, load := range loads {
-		end, err := StartInProcess(load, seed+uint64(i))(router.Address)
+		end, err := startLoad(load, seed+uint64(i), router.Address)
 		if err != nil {
 			return nil, err
 		}
