--- /dev/null
+++ b/review/standins/discovery.go
@@ -0,0 +1,172 @@
+//go:build review
+
+package standins
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Entry is a node of the list of discovery.
+type Entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"` // active, leaving or left
+	Weight  float64 `json:"weight"`
+	Since   int64   `json:"since_ms"`
+	Role    string  `json:"role,omitempty"`
+}
+
+// List is a list as discovery sends it.
+type List struct {
+	Index    int64   `json:"index"`
+	Snapshot bool    `json:"snapshot"`
+	Entries  []Entry `json:"endpoints"`
+}
+
+// emptyLine is how often a watch sends an empty line.
+const emptyLine = 2 * time.Second
+
+// Discovery is a stand-in for discovery.
+type Discovery struct {
+	Address string
+
+	mu      sync.Mutex
+	index   int64
+	changed map[string]int64 // by node, the index of its last change
+	entries []Entry
+	late    time.Duration // how late it answers requests
+	next    chan struct{} // closed with each change
+	watches map[net.Conn]bool
+}
+
+// StartDiscovery starts discovery at a free address of the loopback interface.
+func StartDiscovery(entries ...Entry) (*Discovery, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{Address: listener.Addr().String(), changed: map[string]int64{}, next: make(chan struct{}), watches: map[net.Conn]bool{}}
+	d.Change(entries...)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", d.serve)
+	server := &http.Server{Handler: mux, ConnState: d.connection}
+	go server.Serve(listener)
+	return d, nil
+}
+
+func (d *Discovery) connection(conn net.Conn, state http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		d.watches[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(d.watches, conn)
+	}
+}
+
+// Change changes entries of the list or adds them, all in one version.
+func (d *Discovery) Change(entries ...Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index++
+	for _, entry := range entries {
+		if d.changed[entry.Name] == 0 {
+			d.entries = append(d.entries, entry)
+		}
+		d.changed[entry.Name] = d.index
+		for i := range d.entries {
+			if d.entries[i].Name == entry.Name {
+				d.entries[i] = entry
+			}
+		}
+	}
+	close(d.next)
+	d.next = make(chan struct{})
+}
+
+// SlowDown makes discovery answer each request so much later.
+func (d *Discovery) SlowDown(late time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.late = late
+}
+
+// ResetWatches resets the open watches.
+func (d *Discovery) ResetWatches() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for conn := range d.watches {
+		Reset(conn)
+	}
+}
+
+// List returns the whole list. A node that has left is only among changes.
+func (d *Discovery) List() List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := List{Index: d.index, Snapshot: true}
+	for _, entry := range d.entries {
+		if entry.Status != "left" {
+			list.Entries = append(list.Entries, entry)
+		}
+	}
+	return list
+}
+
+// since returns what has changed after a version, and a channel that is closed with the next change.
+func (d *Discovery) since(index int64) (List, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := List{Index: d.index}
+	for _, entry := range d.entries {
+		if d.changed[entry.Name] > index {
+			list.Entries = append(list.Entries, entry)
+		}
+	}
+	return list, d.next
+}
+
+func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	late := d.late
+	d.mu.Unlock()
+	time.Sleep(late)
+	if r.URL.Query().Get("follow") == "" {
+		json.NewEncoder(w).Encode(d.List())
+		return
+	}
+	index, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		http.Error(w, "since", http.StatusBadRequest)
+		return
+	}
+	flusher := http.NewResponseController(w)
+	flusher.Flush()
+	for {
+		list, next := d.since(index)
+		if len(list.Entries) > 0 {
+			if json.NewEncoder(w).Encode(list) != nil || flusher.Flush() != nil {
+				return
+			}
+			index = list.Index
+		}
+		select {
+		case <-next:
+		case <-r.Context().Done():
+			return
+		case <-time.After(emptyLine):
+			if _, err := w.Write([]byte("\n")); err != nil || flusher.Flush() != nil {
+				return
+			}
+		}
+	}
+}
