--- a/review/standins/case.go
+++ b/review/standins/case.go
@@ -76,6 +76,7 @@
 	}()
 	if err := play(c); err != nil {
 		c.Log("case", "could not run: %v", err)
+		c.logOutputs()
 		fmt.Fprintln(os.Stderr, "the case can't run:", err)
 		return exitNotRun
 	}
@@ -85,6 +86,17 @@
 	return exitHeld
 }
 
+// logOutputs writes to the record what the processes have printed.
+func (c *Case) logOutputs() {
+	files, _ := filepath.Glob(filepath.Join(c.Temp, "*.log"))
+	for _, file := range files {
+		raw, _ := os.ReadFile(file)
+		for line := range strings.Lines(string(raw)) {
+			c.Log(strings.TrimSuffix(filepath.Base(file), ".log"), "prints %s", strings.TrimSpace(line))
+		}
+	}
+}
+
 func (c *Case) open(name string) (err error) {
 	if c.Root, err = os.Getwd(); err != nil {
 		return err
