Review case 10: a draining node gets reads for good while discovery is slow

Discovery answers each request after 1.5 s; the router gives up each one after 1 s and never learns of the drain.

--- a/review/standins/discovery.go
+++ b/review/standins/discovery.go
@@ -44,6 +44,7 @@
 	entries []Entry
 	late    time.Duration // how late it answers requests
 	next    chan struct{} // closed with each change
+	asked   int           // requests
 	watches map[net.Conn]bool
 }
 
@@ -100,6 +101,13 @@
 	d.late = late
 }
 
+// Requests returns how often discovery was asked.
+func (d *Discovery) Requests() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked
+}
+
 // ResetWatches resets the open watches.
 func (d *Discovery) ResetWatches() {
 	d.mu.Lock()
@@ -138,6 +146,7 @@
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
 	late := d.late
+	d.asked++
 	d.mu.Unlock()
 	time.Sleep(late)
 	if r.URL.Query().Get("follow") == "" {
