--- a/review/standins/wire.go
+++ b/review/standins/wire.go
@@ -79,27 +79,40 @@
 // Millis is a time as the protocol writes it: Unix time in milliseconds.
 func Millis(t time.Time) int64 { return t.UnixMilli() }
 
-// NodeStatus is what a node reports along with an answer: its role, its position and a load report.
-func NodeStatus(primary bool, position time.Time) string {
-	role, flag := "replica", 0
+// Role is a node's report of its role.
+func Role(primary bool) string {
 	if primary {
-		role, flag = "primary", 1
+		return Status("role", "primary")
 	}
-	return Status("role", role) + Status("applied_ms", strconv.FormatInt(Millis(position), 10)) +
-		Status("load", loadReport(flag, position))
+	return Status("role", "replica")
 }
 
-func loadReport(flag int, position time.Time) string {
-	return fmt.Sprintf("x0=%.3f,x1=%d,inflight=1", float64(Millis(position))/1000, flag)
+// Position is a node's report of its position, or of the commit of a write.
+func Position(position time.Time) string {
+	return Status("applied_ms", strconv.FormatInt(Millis(position), 10))
 }
 
-// LoadRow is the answer to SHOW load.
-func LoadRow(primary bool, position time.Time) string {
+// Load is a node's load report along with an answer.
+func Load(primary bool, position time.Time) string {
+	return Status("load", loadReport(primary, position))
+}
+
+// NodeStatus is what a node reports along with an answer: its role, its position and a load report.
+func NodeStatus(primary bool, position time.Time) string {
+	return Role(primary) + Position(position) + Load(primary, position)
+}
+
+func loadReport(primary bool, position time.Time) string {
 	flag := 0
 	if primary {
 		flag = 1
 	}
-	return Row(loadReport(flag, position), "SHOW") + Ready
+	return fmt.Sprintf("x0=%.3f,x1=%d,inflight=1", float64(Millis(position))/1000, flag)
+}
+
+// LoadRow is the answer to SHOW load.
+func LoadRow(primary bool, position time.Time) string {
+	return Row(loadReport(primary, position), "SHOW") + Ready
 }
 
 // fields returns the fields of a command's comment.
