--- a/review/standins/discovery.go
+++ b/review/standins/discovery.go
@@ -42,10 +42,7 @@
 	index   int64
 	changed map[string]int64 // by node, the index of its last change
 	entries []Entry
-	late    time.Duration // how late it answers requests
 	next    chan struct{} // closed with each change
-	asked   int           // requests
-	watches map[net.Conn]bool
 }
 
 // StartDiscovery starts discovery at a free address of the loopback interface.
@@ -54,26 +51,14 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{Address: listener.Addr().String(), changed: map[string]int64{}, next: make(chan struct{}), watches: map[net.Conn]bool{}}
+	d := &Discovery{Address: listener.Addr().String(), changed: map[string]int64{}, next: make(chan struct{})}
 	d.Change(entries...)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/targets", d.serve)
-	server := &http.Server{Handler: mux, ConnState: d.connection}
-	go server.Serve(listener)
+	go http.Serve(listener, mux)
 	return d, nil
 }
 
-func (d *Discovery) connection(conn net.Conn, state http.ConnState) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch state {
-	case http.StateActive:
-		d.watches[conn] = true
-	case http.StateClosed, http.StateHijacked:
-		delete(d.watches, conn)
-	}
-}
-
 // Change changes entries of the list or adds them, all in one version.
 func (d *Discovery) Change(entries ...Entry) {
 	d.mu.Lock()
@@ -94,29 +79,6 @@
 	d.next = make(chan struct{})
 }
 
-// SlowDown makes discovery answer each request so much later.
-func (d *Discovery) SlowDown(late time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.late = late
-}
-
-// Requests returns how often discovery was asked.
-func (d *Discovery) Requests() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.asked
-}
-
-// ResetWatches resets the open watches.
-func (d *Discovery) ResetWatches() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for conn := range d.watches {
-		Reset(conn)
-	}
-}
-
 // List returns the whole list. A node that has left is only among changes.
 func (d *Discovery) List() List {
 	d.mu.Lock()
@@ -144,11 +106,6 @@
 }
 
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
-	d.mu.Lock()
-	late := d.late
-	d.asked++
-	d.mu.Unlock()
-	time.Sleep(late)
 	if r.URL.Query().Get("follow") == "" {
 		json.NewEncoder(w).Encode(d.List())
 		return
