Decide on attempts that have waited for a connection once more before they are sent

Reads that waited for connections were sent to the former primary up to 205 ms after its answer had told the router that it is none.

Cause: an attempt is decided on once and sent when its connection is up. In between only the deadline, the window, the open request, the client and the state in the list were checked; not the role, position, group and restart of its node, nor the session's newer writes.

The pool asks when the connection of a waiting attempt is up, and for all that wait at a node when something that decisions rest on has changed there (RecheckWaiting, which takes the place of StopNewAttempts and FailWaiting). Attempts that are not permitted end as Withdrawn, which uses up none of a request's attempts. A bounded read is checked against its full bound when it is sent; the margin for the wait moves from settings to the choice of the node, so that a wait within it withdraws nothing. Attempts that find an idle connection are not asked for.

Why it works: what is sent satisfies the same rules as what is decided, at the time of sending, for each kind of command and attempt.

Tests: TestReadWaitingAtFormerPrimaryIsNotSent failed before (the read was answered with a row, and the node got its query); a table over all command groups and changes; FuzzRules has 12 more seeds in which attempts wait, with all rules checked again at the time of sending. TestAttemptIsRecheckedBeforeSending has its drain case through MayStart, with and without RecheckWaiting, and expects exact outcomes; TestNewAttemptsStopWhenNodeIsDisallowed counts the renamed action. The expected MaxStaleness of the settings test is the full bound, with the delay beside it, as the reduction has moved.

FuzzRules fuzzed for 60 s: no failure.

--- a/internal/backend/connect.go
+++ b/internal/backend/connect.go
@@ -94,7 +94,7 @@
 	case !c.usable(now):
 		p.drop(c)
 	case len(n.waiting) > 0:
-		p.write(c, n.takeWaiting())
+		p.sendWaiting(now, c)
 	case p.nodes[n.name] != n: // the node's address has changed in the meantime
 		p.drop(c)
 	default:
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex // held while calling the pool, in place of the engine's single goroutine
 	queue   chan func()
 	results chan result
+	refuses bool // whether attempts that have waited may no longer start
 }
 
 // result is the outcome of an attempt or a health check.
@@ -37,6 +38,8 @@
 func (connectedClient) Fail(*inflight.Request)           {}
 func (connectedClient) Connected() bool                  { return true }
 
+func (h *poolHarness) MayStart(int64, *inflight.Attempt) bool { return !h.refuses }
+
 func (h *poolHarness) AttemptEnded(_ int64, _ *inflight.Attempt, o routing.Outcome, r *pgwire.Reply) {
 	h.results <- result{outcome: o, reply: r}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"cairntiller/internal/inflight"
-	"cairntiller/internal/routing"
 )
 
 const (
@@ -26,7 +25,7 @@
 	now            func() int64 // the router's clock, us
 	post           Post
 	after          After
-	results        inflight.ResultHandler
+	handler        inflight.AttemptHandler
 	connectTimeout int64 // us: for establishing a connection, and for the reply to a health check
 	idleTimeout    int64 // us: a connection idle for longer is closed
 	descriptors    descriptorBudget
@@ -54,12 +53,12 @@
 
 // New returns a pool that uses the router's clock, us. Its methods must be called on the goroutine that runs posted
 // events.
-func New(now func() int64, post Post, after After, results inflight.ResultHandler, config Config) *Pool {
+func New(now func() int64, post Post, after After, handler inflight.AttemptHandler, config Config) *Pool {
 	p := &Pool{
 		now:            now,
 		post:           post,
 		after:          after,
-		results:        results,
+		handler:        handler,
 		connectTimeout: config.ConnectTimeout,
 		idleTimeout:    max(config.IdleLimit-idleMargin, config.IdleLimit/2),
 		descriptors:    newDescriptorBudget(config.MaxConnections),
@@ -103,18 +102,13 @@
 	n.idle = nil
 }
 
-// FailWaiting implements inflight.NodeConnections.
-func (p *Pool) FailWaiting(name string) {
+// RecheckWaiting implements inflight.NodeConnections.
+func (p *Pool) RecheckWaiting(now int64, name string) {
 	n := p.nodes[name]
 	if n == nil {
 		return
 	}
-	for _, q := range n.waiting {
-		if q.attempt != nil {
-			p.postQueryEnd(q, routing.NotSent)
-		}
-	}
-	n.waiting = slices.DeleteFunc(n.waiting, func(q *query) bool { return q.attempt != nil })
+	n.waiting = slices.DeleteFunc(n.waiting, func(q *query) bool { return p.withdraw(now, q) })
 }
 
 // Remove implements inflight.NodeConnections.
--- a/internal/backend/query.go
+++ b/internal/backend/query.go
@@ -42,6 +42,27 @@
 	p.after(p.connectTimeout, func(now int64) { p.connectionWaitTimedOut(now, q) })
 }
 
+// sendWaiting sends the query that has waited longest on a connection. It gives the connection to the next one if the
+// attempt is withdrawn. There must be a waiting query.
+func (p *Pool) sendWaiting(now int64, c *connection) {
+	q := c.node.takeWaiting()
+	if p.withdraw(now, q) {
+		p.reuseOrKeepIdle(now, c)
+		return
+	}
+	p.write(c, q)
+}
+
+// withdraw ends a waiting query if it is an attempt that may no longer start: what its decision rested on may have
+// changed while it waited. The caller removes it from the waiting ones.
+func (p *Pool) withdraw(now int64, q *query) (withdrawn bool) {
+	if q.attempt == nil || p.handler.MayStart(now, q.attempt) {
+		return false
+	}
+	p.postQueryEnd(q, routing.Withdrawn)
+	return true
+}
+
 // connectionWaitTimedOut ends a query that has not got a connection in time.
 func (p *Pool) connectionWaitTimedOut(now int64, q *query) {
 	if q.conn == nil && !q.ended {
@@ -144,14 +165,14 @@
 	q.ended = true
 	if q.attempt != nil {
 		delete(p.attempts, q.attempt)
-		p.results.AttemptEnded(now, q.attempt, outcome, reply)
+		p.handler.AttemptEnded(now, q.attempt, outcome, reply)
 		return
 	}
 	load := ""
 	if reply != nil && outcome == routing.Answered {
 		load = string(reply.Column)
 	}
-	p.results.HealthCheckEnded(now, q.node.name, outcome, load)
+	p.handler.HealthCheckEnded(now, q.node.name, outcome, load)
 }
 
 // postQueryEnd ends a query in a separate event, after the current call has returned: the routing module must not be
--- a/internal/backend/race_conditions_test.go
+++ b/internal/backend/race_conditions_test.go
@@ -20,20 +20,28 @@
 func (disconnectedClient) Connected() bool { return false }
 
 // TestAttemptIsRecheckedBeforeSending checks that the conditions of an attempt are verified again when its connection
-// opens: its client is connected, its request is open, its start window has not passed and its node is not draining. If
-// one of them no longer holds, the attempt is not sent.
+// opens: its client is connected, its request is open, its start window has not passed, and the routing module still
+// permits it at its node, whether or not the module asked for a check meanwhile. If one of them no longer holds, the
+// attempt is not sent.
 func TestAttemptIsRecheckedBeforeSending(t *testing.T) {
 	for name, c := range map[string]struct {
 		client          inflight.Client
 		startWithin     int64
-		whileConnecting func(p interface{ FailWaiting(string) }, x *inflight.Request)
-		want            string
+		whileConnecting func(p *backend.Pool, h *poolHarness, x *inflight.Request)
+		want            routing.Outcome
 	}{
-		"no change":           {connectedClient{}, 400_000, nil, "written"},
-		"client disconnected": {disconnectedClient{}, 0, nil, "unsent"},
-		"request concluded":   {connectedClient{}, 0, func(_ interface{ FailWaiting(string) }, x *inflight.Request) { x.ClientGone() }, "unsent"},
-		"start window passed": {connectedClient{}, 1, nil, "unsent"},
-		"node draining":       {connectedClient{}, 0, func(p interface{ FailWaiting(string) }, _ *inflight.Request) { p.FailWaiting("n0") }, "unsent"},
+		"no change":           {connectedClient{}, 400_000, nil, routing.Answered},
+		"client disconnected": {disconnectedClient{}, 0, nil, routing.NotSent},
+		"request concluded":   {connectedClient{}, 0, func(_ *backend.Pool, _ *poolHarness, x *inflight.Request) { x.ClientGone() }, routing.NotSent},
+		"start window passed": {connectedClient{}, 1, nil, routing.NotSent},
+		"checked, still permitted": {connectedClient{}, 0, func(p *backend.Pool, h *poolHarness, _ *inflight.Request) {
+			p.RecheckWaiting(h.now(), "n0")
+		}, routing.Answered},
+		"node no longer permitted": {connectedClient{}, 0, func(_ *backend.Pool, h *poolHarness, _ *inflight.Request) { h.refuses = true }, routing.Withdrawn},
+		"checked, no longer permitted": {connectedClient{}, 0, func(p *backend.Pool, h *poolHarness, _ *inflight.Request) {
+			h.refuses = true
+			p.RecheckWaiting(h.now(), "n0")
+		}, routing.Withdrawn},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -43,16 +51,19 @@
 			conn := <-node.Startups // the connection that the attempt waits for
 			harness.mu.Lock()
 			if c.whileConnecting != nil {
-				c.whileConnecting(p, request)
+				c.whileConnecting(p, harness, request)
 			}
 			harness.mu.Unlock()
 			node.Complete(conn)
 			got := <-harness.results
-			if c.want == "unsent" && got.outcome != routing.NotSent || c.want == "written" && got.outcome != routing.Answered {
-				t.Errorf("outcome %d, want the attempt %s", got.outcome, c.want)
+			if got.outcome != c.want {
+				t.Errorf("outcome %v, want %v", got.outcome, c.want)
 			}
+			harness.mu.Lock()
+			harness.refuses = false
+			harness.mu.Unlock()
 			harness.send(p, "n0", 0) // the connection is still usable, and nothing else was written to it
-			if c.want == "unsent" {
+			if c.want != routing.Answered {
 				if got := <-harness.results; got.outcome != routing.Answered || len(node.Queries) != 1 {
 					t.Errorf("next attempt: outcome %d, %d queries", got.outcome, len(node.Queries))
 				}
--- /dev/null
+++ b/internal/engine/consistency_test.go
@@ -0,0 +1,100 @@
+package engine_test
+
+import (
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cairntiller/internal/metrics"
+	"cairntiller/internal/pgwire"
+	"cairntiller/internal/testcluster/scriptedserver"
+)
+
+// completeStartup answers the startup of a node's connection.
+func completeStartup(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(conn, scriptedserver.Welcome); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readQuery reads a query that a node has received.
+func readQuery(t *testing.T, conn net.Conn) string {
+	t.Helper()
+	query, err := scriptedserver.ReadFrame(conn, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(query)
+}
+
+// waitForCounter waits until a counter exceeds a value.
+func waitForCounter(t *testing.T, name string, before int64) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); metrics.Value(name) <= before; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: still %d", name, metrics.Value(name))
+		}
+	}
+}
+
+// TestReadWaitingAtFormerPrimaryIsNotSent guards against stale reads from a node that has answered that it is no longer
+// the primary: a read of a session was routed there before that answer and waits for its connection.
+func TestReadWaitingAtFormerPrimaryIsNotSent(t *testing.T) {
+	node := scriptedserver.StartHeld(t)
+	r := startRouter(t, 9, &scriptedserver.Node{Addr: node.Addr})
+	writer, reader := r.dial(t), r.dial(t)
+
+	sendCommand(writer, "1", "put", "900")
+	first := <-node.Startups
+	completeStartup(t, first)
+	readQuery(t, first)
+	io.WriteString(first, scriptedserver.Row+scriptedserver.Status("role", "primary")+scriptedserver.Ready)
+	if got := summary(readUntil(t, writer, 'Z')); got != "row" {
+		t.Fatal(got)
+	}
+	time.Sleep(20 * time.Millisecond) // the connection becomes idle
+
+	sendCommand(writer, "2", "put", "900") // on the idle connection
+	readQuery(t, first)
+	reader.Write(pgwire.AppendQuery(nil, "/* id=3,c=own,t=acme,d=900,cluster=0,after="+millisAgo(time.Second)+" */ SELECT data FROM facts WHERE code = 'k'"))
+	second := <-node.Startups // the read waits for it
+	before := metrics.Value("attempts not primary")
+	notPrimary := strings.TrimSuffix(scriptedserver.Failure("25006"), scriptedserver.Ready) + scriptedserver.Status("role", "replica") + scriptedserver.Ready
+	io.WriteString(first, notPrimary)
+	waitForCounter(t, "attempts not primary", before)
+	reads := make(chan string, 9)
+	for _, conn := range []net.Conn{first, second} { // the write may be sent again to find the primary
+		go func() {
+			if conn == second {
+				io.WriteString(conn, scriptedserver.Welcome)
+			}
+			for {
+				query, err := scriptedserver.ReadFrame(conn, true)
+				if err != nil {
+					return
+				}
+				if strings.Contains(string(query), "c=own") {
+					reads <- string(query)
+					io.WriteString(conn, scriptedserver.Row+scriptedserver.Status("role", "replica")+scriptedserver.Ready)
+					continue
+				}
+				io.WriteString(conn, notPrimary)
+			}
+		}()
+	}
+	if got := summary(readUntil(t, reader, 'Z')); got != "53300" {
+		t.Errorf("read: %q", got)
+	}
+	if len(reads) > 0 {
+		t.Errorf("sent to the former primary: %q", <-reads)
+	}
+}
+
+// millisAgo returns a past time as nodes and clients write it.
+func millisAgo(age time.Duration) string {
+	return strconv.FormatInt(time.Now().Add(-age).UnixMilli(), 10)
+}
--- a/internal/engine/node_reports.go
+++ b/internal/engine/node_reports.go
@@ -21,7 +21,7 @@
 // primaryThreshold is the smallest value, in millionths, of a load report's primary field that means "primary".
 const primaryThreshold = 500_000
 
-// HealthCheckEnded implements inflight.ResultHandler.
+// HealthCheckEnded implements inflight.AttemptHandler.
 func (e *Engine) HealthCheckEnded(now int64, node string, outcome routing.Outcome, load string) {
 	position, role := e.applyLoadReport(now, node, load)
 	e.router.HealthChecked(now, node, outcome)
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -22,6 +22,7 @@
 		routing.Canceled:       metrics.New("attempts canceled"),
 		routing.NotSent:        metrics.New("attempts not sent"),
 		routing.NotPrimary:     metrics.New("attempts not primary"),
+		routing.Withdrawn:      metrics.New("attempts withdrawn"),
 	}
 )
 
@@ -69,7 +70,12 @@
 	})
 }
 
-// AttemptEnded implements inflight.ResultHandler. The client gets its answer first; then the routing module gets the
+// MayStart implements inflight.AttemptHandler.
+func (e *Engine) MayStart(now int64, attempt *inflight.Attempt) bool {
+	return e.router.MayStart(now, attempt.Request.Command.ID, attempt.Number)
+}
+
+// AttemptEnded implements inflight.AttemptHandler. The client gets its answer first; then the routing module gets the
 // status that came with the reply, and after that the outcome of the attempt.
 func (e *Engine) AttemptEnded(now int64, attempt *inflight.Attempt, outcome routing.Outcome, reply *pgwire.Reply) {
 	request := attempt.Request
--- a/internal/engine/router_actions.go
+++ b/internal/engine/router_actions.go
@@ -65,8 +65,12 @@
 // CloseIdleConnections implements routing.Actions.
 func (a routerActions) CloseIdleConnections(node string) { a.engine.connections.CloseIdle(node) }
 
-// StopNewAttempts implements routing.Actions.
-func (a routerActions) StopNewAttempts(node string) { a.engine.connections.FailWaiting(node) }
+// RecheckWaiting implements routing.Actions. The connections ask the routing module, so they are called in a separate
+// event, once the module has handled the present one.
+func (a routerActions) RecheckWaiting(node string) {
+	e := a.engine
+	e.Post(e.eventTime, func(now int64) { e.connections.RecheckWaiting(now, node) })
+}
 
 // ForgetNode implements routing.Actions.
 func (a routerActions) ForgetNode(node string) { a.engine.connections.Remove(node) }
@@ -76,4 +80,4 @@
 func (routerActions) WatchEndpoints() {}
 
 var _ inflight.RequestHandler = (*Engine)(nil)
-var _ inflight.ResultHandler = (*Engine)(nil)
+var _ inflight.AttemptHandler = (*Engine)(nil)
--- a/internal/engine/router_harness_test.go
+++ b/internal/engine/router_harness_test.go
@@ -25,16 +25,23 @@
 	frontend *frontend.Server
 }
 
-// startRouter runs a router that accepts at most maxConnections clients.
+// startRouter runs a router that accepts at most maxConnections clients, whose sessions carry the time of their last commit.
 func startRouter(t *testing.T, maxConnections int, nodes ...*scriptedserver.Node) *testRouter {
+	t.Helper()
+	return startRouterWithTokens(t, "carried", maxConnections, nodes...)
+}
+
+// startRouterWithTokens is startRouter with the given setting for where the sessions' tokens are kept.
+func startRouterWithTokens(t *testing.T, writeMarks string, maxConnections int, nodes ...*scriptedserver.Node) *testRouter {
 	t.Helper()
 	now := engine.NewClock()
 	e := engine.New(now)
 	r := routing.New(7, e.Actions())
-	config, catalog, err := settings.Values{"az": "a", "siblings": "1", "round": "5", "classes.count": "2", "classes.0.name": "look",
+	config, catalog, err := settings.Values{"az": "a", "siblings": "1", "round": "5", "classes.count": "3", "classes.0.name": "look",
 		"classes.0.effect": "safe", "classes.0.aim": "400", "classes.0.hardLimit": "1000", "classes.0.points": "1",
 		"classes.1.name": "put", "classes.1.effect": "unsafe", "classes.1.aim": "400", "classes.1.hardLimit": "1000",
-		"classes.1.points": "1", "domain.readLevel": "any,write", "limits.maxAttempts": "3", "limits.cancel": "true",
+		"classes.1.points": "1", "classes.2.name": "own", "classes.2.effect": "safe", "classes.2.aim": "400", "classes.2.hardLimit": "1000",
+		"classes.2.points": "1", "domain.readLevel": "any,write,session", "domain.writeMarks": writeMarks, "limits.maxAttempts": "3", "limits.cancel": "true",
 		"tenants.count": "1", "tenants.0.name": "acme", "tenants.0.quotaPerS": "100"}.RoutingConfig(0)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/inflight/interfaces.go
+++ b/internal/inflight/interfaces.go
@@ -31,25 +31,29 @@
 type NodeConnections interface {
 	// SetAddress sets the address at which a node listens.
 	SetAddress(node, address string)
-	// Send starts an attempt. Its outcome is reported to ResultHandler.AttemptEnded unless it is cancelled.
+	// Send starts an attempt. Its outcome is reported to AttemptHandler.AttemptEnded unless it is cancelled.
 	Send(attempt *Attempt)
 	// Cancel ends an attempt without reporting an outcome; its connection has been shut down when Cancel returns. It
 	// returns whether the node may have received the attempt.
 	Cancel(attempt *Attempt) (mayHaveRun bool)
-	// CheckHealth requests a node's load report; the outcome is reported to ResultHandler.HealthCheckEnded.
+	// CheckHealth requests a node's load report; the outcome is reported to AttemptHandler.HealthCheckEnded.
 	CheckHealth(node string)
 	// CloseIdle closes the idle connections to a node.
 	CloseIdle(node string)
-	// FailWaiting ends the attempts that wait for a connection to a node with the outcome NotSent. Health checks keep
-	// waiting, and connections that are being opened are kept.
-	FailWaiting(node string)
+	// RecheckWaiting ends the attempts that wait for a connection to a node and that AttemptHandler.MayStart no longer
+	// permits with the outcome Withdrawn. Health checks keep waiting, and connections that are being opened are kept.
+	RecheckWaiting(now int64, node string)
 	// Remove closes the idle connections to a node and removes its address. Queries in progress run to their end.
 	Remove(node string)
 }
 
-// ResultHandler receives the outcomes of attempts and health checks on the engine's goroutine. reply is nil if the node
-// sent no usable reply, and never nil with routing.Answered; load is empty if the node sent no load report.
-type ResultHandler interface {
+// AttemptHandler decides on attempts, and receives the outcomes of attempts and health checks, on the engine's goroutine.
+// reply is nil if the node sent no usable reply, and never nil with routing.Answered; load is empty if the node sent no
+// load report.
+type AttemptHandler interface {
+	// MayStart reports whether an attempt that has waited for a connection may still be sent to its node. It changes
+	// nothing.
+	MayStart(now int64, attempt *Attempt) bool
 	AttemptEnded(now int64, attempt *Attempt, outcome routing.Outcome, reply *pgwire.Reply)
 	HealthCheckEnded(now int64, node string, outcome routing.Outcome, load string)
 }
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -22,8 +22,9 @@
 	CheckHealth(node string)
 	// CloseIdleConnections closes the connections to a node that no attempt uses.
 	CloseIdleConnections(node string)
-	// StopNewAttempts prevents attempts that have not yet started at a node from starting; they end as NotSent.
-	StopNewAttempts(node string)
+	// RecheckWaiting ends the attempts that wait for a connection to a node and that Router.MayStart no longer permits,
+	// as Withdrawn. It takes effect after the event being handled.
+	RecheckWaiting(node string)
 	// ForgetNode releases the resources kept for a node. The node isn't used again unless the endpoint list adds it
 	// again.
 	ForgetNode(node string)
--- a/internal/routing/client_names_test.go
+++ b/internal/routing/client_names_test.go
@@ -24,6 +24,7 @@
 func (a *countingActions) SetTimer(int64)                        {}
 func (a *countingActions) CheckHealth(string)                    {}
 func (a *countingActions) CloseIdleConnections(string)           {}
+func (a *countingActions) RecheckWaiting(string)                 {}
 
 // startCounted returns a Router with one shard of a primary and a replica, and its actions.
 func startCounted(clientsCarryTokens bool) (*Router, *countingActions) {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -12,6 +12,9 @@
 	TimeResolution int64
 	// CommandGroups are the command groups; requests refer to them by index.
 	CommandGroups []CommandGroupConfig
+	// SendDelay is the time, in microseconds, for which an attempt may wait for a connection before it is sent. Nodes
+	// for BoundedStaleness reads are chosen so that their data is not too old after it either.
+	SendDelay int64
 	// Tenants are the tenants with a quota; requests refer to them by index.
 	Tenants []TenantConfig
 	// OverQuotaWeight, from 0 to 1, is multiplied into the priority weight of a request that exceeds its tenant's
--- a/internal/routing/consistency.go
+++ b/internal/routing/consistency.go
@@ -42,25 +42,51 @@
 	n.lag = max(0, newest-n.position)
 }
 
-// freshEnough reports whether a node is known to hold the data that a request must see.
+// freshEnough reports whether a node is known to hold the data that a request must see, also if the attempt waits for a
+// connection.
 func (r *Router) freshEnough(n *node, req *request, now int64) bool {
+	return n.holds(req, r.requiredPosition(req, now))
+}
+
+// holds reports whether a node is known to hold the data of a read that requires the given position: it is the primary,
+// or has reached the position.
+func (n *node) holds(req *request, required int64) bool {
 	if n.role == Primary && req.shard.primary == n {
 		return true
 	}
-	return req.group.Consistency != Latest && n.position >= r.requiredPosition(req, now)
+	return req.group.Consistency != Latest && n.position >= required
 }
 
-// requiredPosition returns the minimum position that a read sent at sentAt requires; 0 if any position suffices.
-func (r *Router) requiredPosition(req *request, sentAt int64) int64 {
+// requiredPosition returns the minimum position that a node must have reached to be chosen at the given time for a read;
+// 0 if any position suffices.
+func (r *Router) requiredPosition(req *request, chosenAt int64) int64 {
 	if req.group.Consistency == BoundedStaleness {
-		return sentAt - req.group.MaxStaleness
+		return chosenAt - max(0, req.group.MaxStaleness-r.config.SendDelay)
 	}
 	if req.possiblyAnsweredWrite {
-		return max(req.sessionPosition, sentAt-maxReplyTransit)
+		return max(req.sessionPosition, chosenAt-maxReplyTransit)
 	}
 	return req.sessionPosition
 }
 
+// requiredPositionToSend returns the minimum position that the node of an attempt must have reached when the read is
+// sent, however long it has waited. The session's writes that were answered meanwhile count.
+func (r *Router) requiredPositionToSend(a *attempt, now int64) int64 {
+	req := a.request
+	switch {
+	case req.group.Consistency == BoundedStaleness:
+		return now - req.group.MaxStaleness
+	case r.keepsTokenOf(req):
+		return max(a.requiredPosition, r.sessions.position(hashSession(req.session)))
+	}
+	return a.requiredPosition
+}
+
+// keepsTokenOf reports whether a request is a read that must see what this router keeps as its session's token.
+func (r *Router) keepsTokenOf(req *request) bool {
+	return req.group.Consistency == ReadYourWrites && !r.config.ClientsCarryTokens
+}
+
 // lookUpSessionPosition sets the position that a ReadYourWrites read requires now, when the router keeps the session
 // tokens. A write of the session that has been in flight for longer than maxReplyTransit may already have been
 // answered, so the read then requires data as new as such an answer: a replica that reported its position just now, or
--- a/internal/routing/deadlines.go
+++ b/internal/routing/deadlines.go
@@ -73,7 +73,7 @@
 // mayRetry reports whether one more attempt of a request may start, regardless of those in flight: there is enough time
 // before the deadline, an attempt is left, and a request with a key is within its idempotency window.
 func (r *Router) mayRetry(req *request, now int64) bool {
-	if now >= req.deadline-deadlineMargin || len(req.attempts) >= r.config.Attempts.Max {
+	if now >= req.deadline-deadlineMargin || req.attemptsUsed() >= r.config.Attempts.Max {
 		return false
 	}
 	return req.group.Idempotency != IdempotentWithKey || now < req.earliestExecution(now)+r.retryWindow(req.group)
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -59,6 +59,7 @@
 	}
 	if n.shard != s {
 		n.moveToShard(s)
+		r.actions.RecheckWaiting(n.name)
 	}
 	if e.StartedAt != n.startedAt {
 		r.handleRestart(n, e.StartedAt, known, now)
@@ -78,7 +79,7 @@
 	n.state = state
 	n.listNumber = r.endpointList.number
 	n.listedPrimary = e.Primary
-	r.stopNewAttemptsIfDisallowed(n, wasAllowed)
+	r.recheckIfDisallowed(n, wasAllowed)
 	if newlyMarkedPrimary { // only a new mark counts: an unchanged one may be long out of date
 		r.applyPrimaryHint(n, now)
 	}
@@ -96,6 +97,9 @@
 	if known && n.role == Primary {
 		r.observeRole(n, Replica, now)
 	}
+	if known {
+		r.actions.RecheckWaiting(n.name)
+	}
 }
 
 // EndEndpointList ends a list. Nodes missing from a full list are removed.
@@ -119,7 +123,7 @@
 	if n.state != Draining {
 		n.state = Removed
 	}
-	r.stopNewAttemptsIfDisallowed(n, wasAllowed)
+	r.recheckIfDisallowed(n, wasAllowed)
 }
 
 // EndpointListFailed reports that the list is unavailable. The last list stays in effect, and the list is requested
@@ -139,11 +143,11 @@
 	return n.state == Up || n.state == Removed && r.config.UseRemovedNodes
 }
 
-// stopNewAttemptsIfDisallowed prevents attempts that wait for a connection to a node from starting once the list no
-// longer permits its use. Otherwise a draining node would still receive requests routed to it earlier.
-func (r *Router) stopNewAttemptsIfDisallowed(n *node, wasAllowed bool) {
+// recheckIfDisallowed withdraws the attempts that wait for a connection to a node once the list no longer permits its
+// use. Otherwise a draining node would still receive requests routed to it earlier.
+func (r *Router) recheckIfDisallowed(n *node, wasAllowed bool) {
 	if wasAllowed && !r.listAllows(n) {
-		r.actions.StopNewAttempts(n.name)
+		r.actions.RecheckWaiting(n.name)
 	}
 }
 
--- a/internal/routing/endpoints_test.go
+++ b/internal/routing/endpoints_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against attempts that start at a node after the list disallowed it: an attempt may wait for a connection while
-// its node drains, is removed, or is missing from a full list. The Router must call StopNewAttempts exactly once.
+// its node drains, is removed, or is missing from a full list. The Router must call RecheckWaiting exactly once.
 func TestNewAttemptsStopWhenNodeIsDisallowed(t *testing.T) {
 	for name, happens := range map[string]func(h *harness){
 		"node drains": func(h *harness) { h.draining["g0n1"] = true; h.sendListChange("g0n1"); h.sendListChange("g0n1") },
@@ -84,11 +84,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newShardHarness(t, 1, 2)
-			if len(h.stopped) > 0 {
-				t.Errorf("StopNewAttempts called before the list changed: %v", h.stopped)
+			if len(h.rechecked) > 0 {
+				t.Errorf("RecheckWaiting called before the list changed: %v", h.rechecked)
 			}
-			if happens(h); !slices.Equal(h.stopped, []string{"g0n1"}) {
-				t.Errorf("StopNewAttempts called for %v, want one call for g0n1", h.stopped)
+			if happens(h); !slices.Equal(h.rechecked, []string{"g0n1"}) {
+				t.Errorf("RecheckWaiting called for %v, want one call for g0n1", h.rechecked)
 			}
 		})
 	}
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -26,12 +26,14 @@
 	shuttingDown      bool  // the process is about to exit, so requests in flight are given up too
 	routerKeepsTokens bool  // the Router keeps session tokens; the model has a single session
 	sessionToken      int64 // highest position that an ended write of the session may have
+	// waitTime draws for how long an attempt waits for a connection, in microseconds; nil if none waits.
+	waitTime func() int64
 
 	// Actions of the Router.
 	healthChecks []string // nodes to be health-checked
 	timers       []int64
 	idleClosed   []string // nodes whose idle connections were closed
-	stopped      []string // nodes at which no new attempt may start
+	rechecked    []string // nodes at which waiting attempts were to be checked again
 	startWithin  int64    // limit of the last attempt
 }
 
@@ -44,6 +46,7 @@
 	deadline        int64
 	required        int64 // position that it must see
 	started         int   // attempts started
+	withdrawn       int   // attempts that ended as Withdrawn, which don't count towards the limit
 	inFlight        int   // attempts in flight
 	mayHaveExecuted bool
 	firstExecuted   int64 // start of the first attempt that may have executed it
@@ -58,6 +61,11 @@
 	sentAt        int64
 	dueAt         int64 // when a working node answers it
 	canceled      bool
+	// While it waits for a connection, it is not at its node.
+	waiting  bool
+	sendAt   int64 // when its connection is up
+	latestAt int64 // latest time at which it may be sent
+	required int64 // position that its node had to have when it was chosen
 }
 
 const (
@@ -67,6 +75,7 @@
 	modelInitialCapacity   = 0.2        // share of its capacity that a node starts with
 	modelOverloadWindow    = 2_000_000  // window of OverloadMultiple for a node that warms up, in microseconds
 	modelReplyTransit      = 100_000    // maximum time that an answer takes to arrive, in microseconds
+	modelConnectTimeout    = 250_000    // maximum time for which an attempt waits for a connection, in microseconds
 	modelNodeRate          = 50.0       // capacity of a warm node, in requests per second
 	modelTimeResolution    = 5_000      // resolution of event times, in microseconds
 )
@@ -235,6 +244,9 @@
 	c := h.requests[a.request]
 	c.inFlight--
 	c.mayHaveExecuted = c.mayHaveExecuted || !o.NotExecuted()
+	if o == Withdrawn {
+		c.withdrawn++
+	}
 	if c.consistency == Write && !o.NotExecuted() {
 		at := h.now
 		if o == Answered && pos > 0 && role != RoleUnknown {
@@ -247,7 +259,7 @@
 		c.answered = true
 		done = true
 	}
-	if o != TimedOut && o != ConnectFailed && o != ConnectionLost && o != Canceled && o != NotSent {
+	if o != TimedOut && o != ConnectFailed && o != ConnectionLost && o != Canceled && o != NotSent && o != Withdrawn {
 		h.observeReply(a.node, role, pos)
 	}
 	h.router.AttemptEnded(h.now, AttemptResult{RequestID: a.request, Attempt: a.number, Outcome: o,
@@ -284,7 +296,11 @@
 	}
 	for i := len(h.inFlight) - 1; i >= 0; i-- {
 		if i < len(h.inFlight) && h.now >= h.requests[h.inFlight[i].request].deadline {
-			h.endAttempt(i, TimedOut, RoleUnknown, 0)
+			o := TimedOut
+			if h.inFlight[i].waiting {
+				o = NotSent
+			}
+			h.endAttempt(i, o, RoleUnknown, 0)
 		}
 	}
 	for id, c := range h.requests {
@@ -351,6 +367,8 @@
 		h.t.Fatalf("%s sent to a node outside its shard", id)
 	case h.draining[node]:
 		h.t.Fatalf("%s sent to draining node %s", id, node)
+	case c.started-c.withdrawn >= h.router.config.Attempts.Max:
+		h.t.Fatalf("%s sent after %d attempts", id, c.started)
 	case c.inFlight > 0 && !h.router.config.Attempts.Hedging:
 		h.t.Fatalf("%s hedged although hedging is disabled", id)
 	case c.idempotency == NotIdempotent && repeat:
@@ -365,9 +383,19 @@
 	if !h.freshEnough(c, node) {
 		h.t.Fatalf("stale read: %s sent to %s at position %d, requires %d", id, node, h.positions[node], c.required)
 	}
-	h.checkSlowStart(node)
-	h.inFlight = append(h.inFlight, modelAttempt{request: id, node: node, number: c.started,
-		sentAt: h.now, dueAt: h.now + 20_000})
+	a := modelAttempt{request: id, node: node, number: c.started, sentAt: h.now, dueAt: h.now + 20_000, required: c.required}
+	if h.waitTime != nil {
+		a.sendAt = h.now + h.waitTime()
+		a.waiting = a.sendAt > h.now
+		a.latestAt = c.deadline - 1
+		if startWithin > 0 {
+			a.latestAt = min(a.latestAt, h.now+startWithin)
+		}
+	}
+	if !a.waiting {
+		h.checkSlowStart(node)
+	}
+	h.inFlight = append(h.inFlight, a)
 	if !repeat {
 		c.firstExecuted = h.now
 	}
@@ -396,6 +424,67 @@
 	return h.reportedPrimary[node]
 }
 
+// sendWaiting sends an attempt whose connection is up, unless the Router no longer permits it. It checks the rules on
+// sending again: what the Router decided on may have changed while the attempt waited.
+func (h *harness) sendWaiting(i int) {
+	a := &h.inFlight[i]
+	c := h.requests[a.request]
+	switch {
+	case c.finished || c.answered || a.canceled || h.now > a.latestAt:
+		h.endAttempt(i, NotSent, RoleUnknown, 0)
+		return
+	case !h.router.MayStart(h.now, a.request, a.number):
+		h.endAttempt(i, Withdrawn, RoleUnknown, 0)
+		return
+	case h.shardOf[a.node] != c.shard:
+		h.t.Fatalf("%s sent to a node that has left its shard", a.request)
+	case h.draining[a.node]:
+		h.t.Fatalf("%s sent to node %s, which drains since it waited", a.request, a.node)
+	case !h.freshEnoughToSend(a, c):
+		h.t.Fatalf("stale read: %s sent to %s at position %d after it waited for %d us", a.request, a.node,
+			h.positions[a.node], h.now-a.sentAt)
+	}
+	h.checkSlowStart(a.node)
+	a.waiting = false
+	a.dueAt = h.now + 20_000
+}
+
+// withdrawRechecked ends the waiting attempts that the Router wants to be checked again and no longer permits.
+func (h *harness) withdrawRechecked() {
+	for len(h.rechecked) > 0 {
+		node := h.rechecked[0]
+		h.rechecked = h.rechecked[1:]
+		for i := len(h.inFlight) - 1; i >= 0; i-- {
+			if i >= len(h.inFlight) {
+				continue
+			}
+			a := h.inFlight[i]
+			if a.node == node && a.waiting && !h.router.MayStart(h.now, a.request, a.number) {
+				h.endAttempt(i, Withdrawn, RoleUnknown, 0)
+			}
+		}
+	}
+}
+
+// freshEnoughToSend reports whether a node may serve the request of an attempt that has waited. A session's writes that
+// have ended meanwhile count; those in flight counted when the node was chosen.
+func (h *harness) freshEnoughToSend(a *modelAttempt, c *modelRequest) bool {
+	required := a.required
+	switch c.consistency {
+	case Eventual, Write:
+		return true
+	case BoundedStaleness:
+		required = h.now - modelMaxStaleness
+	case ReadYourWrites:
+		if h.routerKeepsTokens {
+			required = max(required, h.sessionToken)
+		}
+	case Latest:
+		return h.reportedPrimary[a.node]
+	}
+	return h.reportedPrimary[a.node] || required == 0 || h.positions[a.node] >= required
+}
+
 // checkSlowStart checks that a node that warms up is sent no more than its capacity allows.
 func (h *harness) checkSlowStart(node string) {
 	started := h.startedAt[node]
@@ -443,7 +532,7 @@
 		}
 	}
 	windowOver := c.idempotency == IdempotentWithKey && h.now >= c.firstExecuted+modelIdempotencyWindow
-	if c.started >= h.router.config.Attempts.Max || h.now >= c.deadline-deadlineMargin || windowOver {
+	if c.started-c.withdrawn >= h.router.config.Attempts.Max || h.now >= c.deadline-deadlineMargin || windowOver {
 		h.t.Fatalf("attempt %d of %s canceled although no other can be answered, %d us before its deadline",
 			n, id, c.deadline-h.now)
 	}
@@ -458,8 +547,8 @@
 // CloseIdleConnections implements Actions.
 func (h *harness) CloseIdleConnections(node string) { h.idleClosed = append(h.idleClosed, node) }
 
-// StopNewAttempts implements Actions.
-func (h *harness) StopNewAttempts(node string) { h.stopped = append(h.stopped, node) }
+// RecheckWaiting implements Actions.
+func (h *harness) RecheckWaiting(node string) { h.rechecked = append(h.rechecked, node) }
 
 // ForgetNode implements Actions.
 func (h *harness) ForgetNode(node string) {
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -26,11 +26,14 @@
 	// NotPrimary: the node rejected the request without executing it because it isn't the primary, or because its data
 	// is too old for the request. In both cases it is not the primary.
 	NotPrimary
+	// Withdrawn: the attempt waited for a connection, and before anything was sent its node became unsuitable (see
+	// Router.MayStart). It doesn't count as one of the request's attempts.
+	Withdrawn
 )
 
 // NotExecuted reports whether the outcome proves that the request was not executed.
 func (o Outcome) NotExecuted() bool {
-	return o == Rejected || o == ConnectFailed || o == NotSent || o == NotPrimary
+	return o == Rejected || o == ConnectFailed || o == NotSent || o == NotPrimary || o == Withdrawn
 }
 
 // nodeReplied reports whether the outcome shows that the node's process works.
@@ -48,6 +51,7 @@
 	Canceled:       "canceled",
 	NotSent:        "not sent",
 	NotPrimary:     "not primary",
+	Withdrawn:      "withdrawn",
 }
 
 // String returns the outcome's name, for logs and tests.
--- a/internal/routing/primary.go
+++ b/internal/routing/primary.go
@@ -56,7 +56,7 @@
 	s := n.shard
 	if role != Primary {
 		if s.primary == n {
-			s.primary = nil
+			r.setPrimary(s, nil)
 		}
 		return
 	}
@@ -65,14 +65,26 @@
 	if former == n {
 		return
 	}
-	s.primary = n
 	n.lag = 0
 	if former != nil {
 		former.role = Replica
+	}
+	r.setPrimary(s, n)
+	if former != nil {
 		r.cancelRetriable(former, now)
 	}
 }
 
+// setPrimary sets the believed primary of a shard, nil if none. Attempts that wait at the former one were decided on
+// another belief.
+func (r *Router) setPrimary(s *shard, n *node) {
+	former := s.primary
+	s.primary = n
+	if former != nil && former != n {
+		r.actions.RecheckWaiting(former.name)
+	}
+}
+
 // ReportedRole processes the role in a load report. It is a hint, and sets the node's role only if no answer has shown
 // one.
 func (r *Router) ReportedRole(now int64, name string, primary bool) {
@@ -98,14 +110,14 @@
 	}
 	believed := n.shard.primary
 	if believed == nil || believed.roleAt == 0 || now-believed.roleAt > observedRoleTTL || believed.suspected {
-		n.shard.primary = n
+		r.setPrimary(n.shard, n)
 	}
 }
 
 // applyNotPrimaryHint processes an unconfirmed hint that a node isn't the primary.
 func (r *Router) applyNotPrimaryHint(n *node, now int64) {
 	if n.shard.primary == n && now-n.roleAt > observedRoleTTL {
-		n.shard.primary = nil
+		r.setPrimary(n.shard, nil)
 	}
 }
 
@@ -146,7 +158,7 @@
 // node that isn't the primary rejects it without executing it. Only members that replied recently are queried this way.
 func (r *Router) mayQueryWithWrite(req *request, n *node, now int64) bool {
 	return req.group.Consistency == Write &&
-		primaryQueryAttemptDivisor*len(req.attempts) < r.config.Attempts.Max &&
+		primaryQueryAttemptDivisor*req.attemptsUsed() < r.config.Attempts.Max &&
 		r.usable(n, now) && now-n.lastReplyAt <= observedRoleTTL
 }
 
--- a/internal/routing/replica_selection.go
+++ b/internal/routing/replica_selection.go
@@ -30,7 +30,7 @@
 	if group.needsPrimary() {
 		return proceed
 	}
-	if group.Consistency == ReadYourWrites && !r.config.ClientsCarryTokens {
+	if r.keepsTokenOf(req) {
 		r.lookUpSessionPosition(req, now)
 	}
 	req.shard.rotation++
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -57,6 +57,7 @@
 	attempts       []*attempt
 	inlineAttempts [2]*attempt // initial backing array of attempts, which avoids an allocation for most requests
 	inFlight       int         // attempts that have not ended
+	withdrawn      int         // attempts that ended as Withdrawn
 
 	mayHaveExecuted bool  // an attempt that ended may have executed it
 	firstExecutedAt int64 // start of the earliest such attempt
@@ -71,6 +72,11 @@
 	ended     bool
 	canceled  bool // cancellation was requested
 	lost      bool // considered lost after a long time without an answer; no longer counted as in flight at its node
+
+	// What was known when its node was chosen (start_check.go).
+	nodeRole         Role
+	nodeStartedAt    int64 // when its node's process had started
+	requiredPosition int64 // position that its node must have reached
 }
 
 // inFlightAt reports whether an attempt of the request is in flight at a node.
@@ -161,7 +167,15 @@
 
 // openAttempt records that an attempt of a request is in flight at a node.
 func (r *Router) openAttempt(req *request, n *node, now int64) {
-	a := &attempt{request: req, number: len(req.attempts), node: n, startedAt: now}
+	a := &attempt{
+		request:          req,
+		number:           len(req.attempts),
+		node:             n,
+		startedAt:        now,
+		nodeRole:         n.role,
+		nodeStartedAt:    n.startedAt,
+		requiredPosition: r.requiredPosition(req, now),
+	}
 	req.attempts = append(req.attempts, a)
 	req.inFlight++
 	n.inFlight++
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -150,6 +150,9 @@
 		return
 	}
 	r.recordExecution(req, result.Outcome)
+	if result.Outcome == Withdrawn {
+		req.withdrawn++
+	}
 	req.done = req.done || result.RequestDone
 	took := result.Took
 	if r.stallEndedAt == now || now-r.lastSweepAt > stallThreshold {
--- a/internal/routing/rules_test.go
+++ b/internal/routing/rules_test.go
@@ -9,7 +9,7 @@
 // FuzzRules runs generated scenarios against the Router; the reference model fails the test at any violation of the
 // rules.
 func FuzzRules(f *testing.F) {
-	for seed := range uint64(36) {
+	for seed := range uint64(48) {
 		f.Add(seed, uint8(seed*37))
 	}
 	f.Fuzz(func(t *testing.T, seed uint64, faultRate uint8) { runScenario(t, seed, faultRate, 4000) })
@@ -21,6 +21,8 @@
 	// firstVariedAttemptsSeed is the first seed whose scenarios derive the maximum number of attempts from the seed
 	// instead of using six.
 	firstVariedAttemptsSeed = 24
+	// firstWaitingSeed is the first seed in whose scenarios attempts wait for connections.
+	firstWaitingSeed = 36
 )
 
 // scenario is a generated scenario with the actual state of the nodes.
@@ -52,6 +54,9 @@
 	if seed >= firstVariedAttemptsSeed {
 		s.router.config.Attempts.Max = 1 + int(seed%6)
 	}
+	if seed >= firstWaitingSeed {
+		s.letAttemptsWait(seed)
+	}
 	s.sendFullList(scenarioShards, scenarioMembers)
 	for range steps {
 		name := fmt.Sprintf("g%dn%d", s.rng.Intn(scenarioShards), s.rng.Intn(scenarioMembers))
@@ -65,6 +70,7 @@
 			s.sendRequest(fmt.Sprint("c", s.arrivals), group, s.rng.Intn(scenarioShards), timeLeft, s.rng.Int63n(400_000))
 		}
 		s.advance(1 + s.rng.Int63n(15_000))
+		s.withdrawRechecked()
 		s.endDueAttempts()
 		s.endHealthChecks()
 	}
@@ -76,6 +82,19 @@
 	}
 }
 
+// letAttemptsWait makes a part of the attempts wait for a connection. Its random numbers are its own, so that other
+// scenarios stay as they are.
+func (s *scenario) letAttemptsWait(seed uint64) {
+	rng := rand.New(rand.NewSource(int64(seed)))
+	s.router.config.SendDelay = modelConnectTimeout
+	s.waitTime = func() int64 {
+		if rng.Intn(2) == 0 {
+			return 0
+		}
+		return rng.Int63n(modelConnectTimeout)
+	}
+}
+
 // injectFault changes the state of a node, the endpoint list or the Router at random.
 func (s *scenario) injectFault(name string) {
 	switch s.rng.Intn(44) {
@@ -94,7 +113,9 @@
 		s.draining[name] = !s.draining[name]
 		s.sendListChange(name)
 	case 5:
+		sendDelay := s.router.config.SendDelay
 		s.restart(s.rng.Uint64())
+		s.router.config.SendDelay = sendDelay
 		s.sendFullList(scenarioShards, scenarioMembers)
 	case 6: // an empty list, or one with a single known node and an unknown one, followed by the correct list
 		s.router.BeginEndpointList(s.now, true)
@@ -144,6 +165,14 @@
 		if i >= len(s.inFlight) {
 			continue
 		}
+		if a := s.inFlight[i]; a.waiting {
+			if s.hung[a.node] && s.now >= a.sentAt+modelConnectTimeout {
+				s.endAttempt(i, ConnectFailed, RoleUnknown, 0)
+			} else if a.canceled || !s.hung[a.node] && s.now >= a.sendAt {
+				s.sendWaiting(i)
+			}
+			continue
+		}
 		a := s.inFlight[i]
 		role, pos := s.actualState(a.node)
 		o, ends := s.outcome(a, role)
--- a/internal/settings/routing_config.go
+++ b/internal/settings/routing_config.go
@@ -17,14 +17,15 @@
 }
 
 // RoutingConfig returns the configuration of the routing module. An attempt may be sent up to sendDelay us after the
-// decision to start it, so the maximum staleness of reads is reduced by sendDelay. The error is a *FieldError.
+// decision to start it. The error is a *FieldError.
 func (v Values) RoutingConfig(sendDelay int64) (routing.Config, Catalog, error) {
 	r := &Reader{Values: v}
 	config := routing.Config{
 		Zone:               v["az"],
 		Routers:            r.Int("siblings"),
 		TimeResolution:     r.Time("round"),
-		CommandGroups:      v.commandGroups(r, sendDelay),
+		CommandGroups:      v.commandGroups(r),
+		SendDelay:          sendDelay,
 		Tenants:            v.tenants(r),
 		OverQuotaWeight:    r.Float("overShareWorth"),
 		ClientsCarryTokens: v["domain.writeMarks"] == "carried",
@@ -50,7 +51,7 @@
 	return config, v.catalog(config), r.Err
 }
 
-func (v Values) commandGroups(r *Reader, sendDelay int64) (groups []routing.CommandGroupConfig) {
+func (v Values) commandGroups(r *Reader) (groups []routing.CommandGroupConfig) {
 	levels := v.List("domain.readLevel")
 	bounds := v.List("domain.oldestData")
 	for i := range r.Int("classes.count") {
@@ -61,7 +62,7 @@
 			Consistency:            parseConsistency(elementAt(levels, i)),
 			LatencyObjective:       r.Time(path + "aim"),
 			Timeout:                r.Time(path + "hardLimit"),
-			MaxStaleness:           max(0, r.time("domain.oldestData", elementAt(bounds, i))-sendDelay),
+			MaxStaleness:           max(0, r.time("domain.oldestData", elementAt(bounds, i))),
 			IdempotencyWindow:      r.Time(path + "window"),
 			Weight:                 r.Float(path + "points"),
 			LateWeight:             r.Float(path + "lateValue"),
--- a/internal/settings/values_test.go
+++ b/internal/settings/values_test.go
@@ -57,9 +57,9 @@
 		t.Fatal(err)
 	}
 	wantConfig := routing.Config{
-		Zone: "a", Routers: 3, TimeResolution: 5250, OverQuotaWeight: 0.25,
+		Zone: "a", Routers: 3, TimeResolution: 5250, OverQuotaWeight: 0.25, SendDelay: 50_000,
 		CommandGroups: []routing.CommandGroupConfig{
-			{Idempotency: routing.Idempotent, DeduplicatedEverywhere: true, Consistency: routing.BoundedStaleness, MaxStaleness: 200_000,
+			{Idempotency: routing.Idempotent, DeduplicatedEverywhere: true, Consistency: routing.BoundedStaleness, MaxStaleness: 250_000,
 				IdempotencyWindow: 50_000, LatencyObjective: 100_000, Timeout: 400_000, Weight: 2, LateWeight: 0.5},
 			{Idempotency: routing.IdempotentWithKey, Consistency: routing.ReadYourWrites,
 				IdempotencyWindow: 60_500, LatencyObjective: 110_000, Timeout: 700_000, Weight: 1},
--- a/internal/simwire/actions.go
+++ b/internal/simwire/actions.go
@@ -59,9 +59,9 @@
 	i.endAction()
 }
 
-// StopNewAttempts implements routing.Actions. It does nothing, because no attempt waits for a connection in the
+// RecheckWaiting implements routing.Actions. It does nothing, because no attempt waits for a connection in the
 // simulator.
-func (*instance) StopNewAttempts(string) {}
+func (*instance) RecheckWaiting(string) {}
 
 // ForgetNode implements routing.Actions. It does nothing, because the protocol has no such action.
 func (*instance) ForgetNode(string) {}
