Take a write's position from its own answer, not from what was learned at the same time

The write's connection had been reset behind the row and the load report, before applied_ms.

Cause: recordWritePosition asked whether the answer had a position by whether the node's position had been learned at this moment. The load report in the same answer, which is older, had set it; another answer of the node at the same microsecond does so too. Any replica that had reached that position then counted as fresh enough.

Change: AttemptResult.Position carries the position of the answer itself, on sockets and in the simulator's adapter; without one, the token is the time of the answer.

Evidence: without the load report the token was right before; the wrong tokens were older by just the age of the report, or of the other answer. Why it works: no time is compared any more, and the load report has no way to the token.

The model takes an answer's position as the commit also without the role, as the router does.

--- a/internal/engine/consistency_test.go
+++ b/internal/engine/consistency_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -98,3 +99,33 @@
 func millisAgo(age time.Duration) string {
 	return strconv.FormatInt(time.Now().Add(-age).UnixMilli(), 10)
 }
+
+// loadReport is a node's load report along with an answer: the position that it had some time ago, and its role.
+func loadReport(age time.Duration, primary string) string {
+	at := time.Now().Add(-age).UnixMilli()
+	return scriptedserver.Status("load", fmt.Sprintf("x0=%d.%03d,x1=%s", at/1000, at%1000, primary))
+}
+
+// TestReadAfterWriteCutOffBeforePosition guards against reads that miss a write of their session. The write's answer is
+// cut off behind its row and a load report, whose older position must not be taken for the write's.
+func TestReadAfterWriteCutOffBeforePosition(t *testing.T) {
+	primary := scriptedserver.Start(t, scriptedserver.Welcome,
+		scriptedserver.Row+loadReport(400*time.Millisecond, "1")+"!", scriptedserver.Row+scriptedserver.Ready)
+	replica := scriptedserver.Start(t, scriptedserver.Welcome,
+		scriptedserver.Row+scriptedserver.Status("role", "replica")+scriptedserver.Status("applied_ms", millisAgo(100*time.Millisecond))+scriptedserver.Ready,
+		scriptedserver.Row+scriptedserver.Ready)
+	r := startRouterWithTokens(t, "remembered", 9, primary, replica)
+	c := r.dial(t)
+	for id, group := range []string{"look", "put", "own"} {
+		c.Write(pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%d,c=%s,t=acme,d=900,cluster=0 */ SELECT data FROM facts WHERE code = 'k'", id, group)))
+		if got := summary(readUntil(t, c, 'Z')); got != "row" {
+			t.Fatalf("%s: %q", group, got)
+		}
+	}
+	if n := len(replica.Queries); n != 1 {
+		t.Errorf("%d queries at the replica, want only the first one", n)
+	}
+	if n := len(primary.Queries); n != 2 {
+		t.Errorf("%d queries at the primary, want the write and its session's read", n)
+	}
+}
--- a/internal/engine/node_reports.go
+++ b/internal/engine/node_reports.go
@@ -47,19 +47,22 @@
 	e.router.SetCheckedByPeer(node, delegated)
 }
 
-// applyReplyStatus passes the role, position and load report in a reply to the routing module.
-func (e *Engine) applyReplyStatus(now int64, node string, reply *pgwire.Reply) {
+// applyReplyStatus passes the role, position and load report in a reply to the routing module. A reply may have been cut
+// off: each message is used for what it says itself, and nothing follows from a missing one. It returns the position (us
+// in Unix time), which the load report doesn't replace; 0 if the reply has none.
+func (e *Engine) applyReplyStatus(now int64, node string, reply *pgwire.Reply) (position int64) {
 	role := routing.RoleUnknown
 	if reply.Primary {
 		role = routing.Primary
 	} else if reply.Replica {
 		role = routing.Replica
 	}
-	if !plausiblePosition(now, reply.Position) {
-		reply.Position = 0
+	if plausiblePosition(now, reply.Position) {
+		position = reply.Position
 	}
-	e.router.ObserveReply(now, node, role, reply.Position)
+	e.router.ObserveReply(now, node, role, position)
 	e.applyLoadReport(now, node, reply.Load)
+	return position
 }
 
 // applyLoadReport passes the position and the role in a load report to the routing module. A report with any malformed
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -88,17 +88,19 @@
 	attemptOutcomes[outcome].Add()
 	e.services.attemptEnded(attempt, outcome, now)
 	elapsed := now - attempt.StartedAt
+	position := int64(0)
 	if outcome == routing.Answered && request.Answer(reply.RowMessages) {
 		e.unanswered.add(-1)
 	}
 	if reply != nil {
-		e.applyReplyStatus(now, attempt.Node, reply)
+		position = e.applyReplyStatus(now, attempt.Node, reply)
 	}
 	e.router.AttemptEnded(now, routing.AttemptResult{
 		RequestID:   request.Command.ID,
 		Attempt:     attempt.Number,
 		Outcome:     outcome,
 		Took:        elapsed,
+		Position:    position,
 		RequestDone: request.Concluded(),
 	})
 	e.removeIfDone(request)
--- a/internal/routing/consistency.go
+++ b/internal/routing/consistency.go
@@ -103,9 +103,9 @@
 	return req.group.Consistency == Write && !r.config.ClientsCarryTokens && req.session != ""
 }
 
-// recordWritePosition is the outcome function that stores a write's position as its session's token. If the node
-// reported no position, because the answer was cut off or never came, the current time is used: no commit that was
-// answered is later.
+// recordWritePosition is the outcome function that stores a write's position as its session's token. If the answer
+// contained no position, because it was cut off or never came, the current time is used: no commit that was answered is
+// later. What else is known of the node's position doesn't count, since the write may be later than that.
 func (r *Router) recordWritePosition(a *attempt, outcome Outcome, _, now int64) {
 	req := a.request
 	if !r.setsToken(req) {
@@ -117,8 +117,8 @@
 		return
 	}
 	position := now
-	if outcome == Answered && a.node.positionAt == now {
-		position = a.node.position
+	if outcome == Answered && a.reportedPosition > 0 {
+		position = a.reportedPosition
 	}
 	r.sessions.raise(session, position)
 }
--- a/internal/routing/consistency_test.go
+++ b/internal/routing/consistency_test.go
@@ -43,21 +43,39 @@
 }
 
 // Guards against a session token that is too old: if a write's answer was cut off before the node's position, the token
-// must not be earlier than the answer, or the session's next read could miss the write.
+// must not be earlier than the answer, or the session's next read could miss the write. A load report in the same answer,
+// and another answer of the node at the same time, tell positions that may be from before the write. The position in the
+// answer itself is the token, whatever else the node has reported.
 func TestTokenOfWriteWithoutPosition(t *testing.T) {
-	h := newShardHarness(t, 1, 1)
-	h.router.config.ClientsCarryTokens = false
-	h.observeReply("g0n0", Primary, h.now-500_000)
-	h.advance(10_000)
-	write := &request{group: h.router.groups[plainWrite], session: "s"}
-	a := &attempt{request: write, node: h.node("g0n0")}
-	if h.router.recordWritePosition(a, Answered, 0, h.now); h.router.sessions.position(hashSession("s")) != h.now {
-		t.Errorf("token is %d us older than the answer", h.now-h.router.sessions.position(hashSession("s")))
-	}
-	h.observeReply("g0n0", Primary, h.now-1_000)
-	write.session = "t"
-	if h.router.recordWritePosition(a, Answered, 0, h.now); h.router.sessions.position(hashSession("t")) > h.now-1_000 {
-		t.Error("token ignores the position reported in the answer")
+	const session = "s" // the harness's
+	for name, c := range map[string]struct {
+		meanwhile func(h *harness) // what else is known at the time of the answer
+		answer    Role             // in the answer
+		age       int64            // of the position in the answer, -1 for none
+		want      int64            // age of the token
+	}{
+		"nothing reported":                  {func(*harness) {}, RoleUnknown, -1, 0},
+		"only the role":                     {func(*harness) {}, Primary, -1, 0},
+		"only an older load report":         {func(h *harness) { h.router.ReportedPosition(h.now, "g0n0", h.now-310_000) }, RoleUnknown, -1, 0},
+		"the role and an older load report": {func(h *harness) { h.router.ReportedPosition(h.now, "g0n0", h.now-310_000) }, Primary, -1, 0},
+		"another answer at the same time":   {func(h *harness) { h.observeReply("g0n0", Primary, h.now-2_000) }, RoleUnknown, -1, 0},
+		"its position":                      {func(*harness) {}, Primary, 1_000, 1_000},
+		"its position without the role":     {func(*harness) {}, RoleUnknown, 1_000, 1_000},
+		"its position, and another answer":  {func(h *harness) { h.observeReply("g0n0", Primary, h.now) }, Primary, 1_000, 1_000},
+	} {
+		h := newShardHarness(t, 1, 1)
+		h.keepTokensInRouter()
+		h.observeReply("g0n0", Primary, h.now-500_000)
+		h.sendRequest("w", plainWrite, 0, 4e6, 0)
+		h.advance(10_000)
+		position := int64(0)
+		if c.age >= 0 {
+			position = h.now - c.age
+		}
+		c.meanwhile(h)
+		if h.endAttempt(0, Answered, c.answer, position); h.now-h.router.sessions.position(hashSession(session)) != c.want {
+			t.Errorf("%s: token is %d us older than the answer, want %d", name, h.now-h.router.sessions.position(hashSession(session)), c.want)
+		}
 	}
 }
 
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -249,7 +249,7 @@
 	}
 	if c.consistency == Write && !o.NotExecuted() {
 		at := h.now
-		if o == Answered && pos > 0 && role != RoleUnknown {
+		if o == Answered && pos > 0 {
 			at = pos
 		}
 		h.sessionToken = max(h.sessionToken, at)
@@ -264,6 +264,7 @@
 	}
 	h.router.AttemptEnded(h.now, AttemptResult{RequestID: a.request, Attempt: a.number, Outcome: o,
 		Took:        h.now - a.sentAt,
+		Position:    pos,
 		RequestDone: done})
 }
 
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -25,6 +25,9 @@
 	Attempt   int // its number, in the order of Actions.StartAttempt calls
 	Outcome   Outcome
 	Took      int64 // duration in microseconds
+	// Position is the position that the node reported in the answer to this attempt: for a write, its commit. It is 0 if
+	// the answer contained none, or was cut off before it.
+	Position int64
 	// RequestDone reports that the request has its final answer or its client disconnected, so no further attempt may
 	// start.
 	RequestDone bool
@@ -77,6 +80,8 @@
 	nodeRole         Role
 	nodeStartedAt    int64 // when its node's process had started
 	requiredPosition int64 // position that its node must have reached
+
+	reportedPosition int64 // AttemptResult.Position once it has ended
 }
 
 // inFlightAt reports whether an attempt of the request is in flight at a node.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -149,6 +149,7 @@
 	if ended.ended {
 		return
 	}
+	ended.reportedPosition = result.Position
 	r.recordExecution(req, result.Outcome)
 	if result.Outcome == Withdrawn {
 		req.withdrawn++
--- a/internal/routing/rules_test.go
+++ b/internal/routing/rules_test.go
@@ -21,8 +21,10 @@
 	// firstVariedAttemptsSeed is the first seed whose scenarios derive the maximum number of attempts from the seed
 	// instead of using six.
 	firstVariedAttemptsSeed = 24
-	// firstWaitingSeed is the first seed in whose scenarios attempts wait for connections.
-	firstWaitingSeed = 36
+	// firstNetworkSeed is the first seed in whose scenarios attempts wait for connections and answers are cut off.
+	firstNetworkSeed = 36
+	// modelReportAge is the maximum age of a load report, in microseconds.
+	modelReportAge = 320_000
 )
 
 // scenario is a generated scenario with the actual state of the nodes.
@@ -35,6 +37,7 @@
 	hung         map[string]bool
 	lastServedAt map[string]int64 // when a node last answered
 	arrivals     int
+	network      *rand.Rand // draws what happens on the network; nil if nothing does
 }
 
 // runScenario runs one generated scenario and checks that no request is kept after its end.
@@ -54,8 +57,8 @@
 	if seed >= firstVariedAttemptsSeed {
 		s.router.config.Attempts.Max = 1 + int(seed%6)
 	}
-	if seed >= firstWaitingSeed {
-		s.letAttemptsWait(seed)
+	if seed >= firstNetworkSeed {
+		s.simulateNetwork(seed)
 	}
 	s.sendFullList(scenarioShards, scenarioMembers)
 	for range steps {
@@ -82,19 +85,40 @@
 	}
 }
 
-// letAttemptsWait makes a part of the attempts wait for a connection. Its random numbers are its own, so that other
-// scenarios stay as they are.
-func (s *scenario) letAttemptsWait(seed uint64) {
-	rng := rand.New(rand.NewSource(int64(seed)))
+// simulateNetwork makes half of the attempts wait for a connection, and cuts off a part of the answers. Its random numbers
+// are its own, so that other scenarios stay as they are.
+func (s *scenario) simulateNetwork(seed uint64) {
+	s.network = rand.New(rand.NewSource(int64(seed)))
 	s.router.config.SendDelay = modelConnectTimeout
 	s.waitTime = func() int64 {
-		if rng.Intn(2) == 0 {
+		if s.network.Intn(2) == 0 {
 			return 0
 		}
-		return rng.Int63n(modelConnectTimeout)
+		return s.network.Int63n(modelConnectTimeout)
 	}
 }
 
+// answer ends an attempt with an answer. On the network a write's answer contains its commit, and one in four answers is
+// cut off behind a load report, which is older than the answer.
+func (s *scenario) answer(i int, role Role, position int64) {
+	if s.network == nil {
+		s.endAttempt(i, Answered, role, position)
+		return
+	}
+	a := s.inFlight[i]
+	if role == Primary {
+		position = s.now
+	}
+	if s.network.Intn(4) > 0 {
+		s.endAttempt(i, Answered, role, position)
+		return
+	}
+	reported := position - s.network.Int63n(modelReportAge)
+	s.recordReply(a.node, RoleUnknown, reported)
+	s.router.ReportedPosition(s.now, a.node, reported)
+	s.endAttempt(i, Answered, RoleUnknown, 0)
+}
+
 // injectFault changes the state of a node, the endpoint list or the Router at random.
 func (s *scenario) injectFault(name string) {
 	switch s.rng.Intn(44) {
@@ -181,8 +205,10 @@
 		}
 		if o == Answered {
 			s.lastServedAt[a.node] = s.now
+			s.answer(i, role, pos)
+		} else {
+			s.endAttempt(i, o, role, pos)
 		}
-		s.endAttempt(i, o, role, pos)
 		if s.rng.Intn(64) == 0 { // a duplicate result, and the client disconnects
 			s.router.AttemptEnded(s.now, AttemptResult{RequestID: a.request, Attempt: a.number, Outcome: o, Took: 1,
 				RequestDone: true})
--- a/internal/simwire/events.go
+++ b/internal/simwire/events.go
@@ -108,6 +108,7 @@
 			Attempt:     int(number),
 			Outcome:     result,
 			Took:        elapsed,
+			Position:    position,
 			RequestDone: final,
 		})
 	}
