Drop a status that a node reports while no query is in flight

What callers could see: a position that a node reports between two replies was counted as part of the next reply.

Cause: messages are collected for the next reply as soon as the one before is complete, and only rows and errors were checked for a query that they can belong to.

Change: what arrives while no query is in flight belongs to no reply. Whether one is in flight is read before the message is handled, so a query that is written meanwhile does not get it. A status that is still in the kernel when a query is written is excluded by the check for unread bytes before each query, as before; one that is still on the way can't be told from the reply's own.

Test: TestStatusBetweenReplies failed before with the position, the role and the load report of the status.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -172,14 +172,19 @@
 }
 
 // receiveReply handles a message of a reply and passes on the reply once it is complete. An unsolicited reply is an
-// error.
+// error. A status that is reported while no query is in flight belongs to no reply and is dropped.
 func (c *connection) receiveReply(at int64, frame pgwire.Frame) error {
+	unsolicited := c.repliesRead == c.queriesWritten.Load()
 	done, err := c.reply.Add(frame)
 	if err != nil {
 		return err
 	}
-	if c.repliesRead == c.queriesWritten.Load() && (done || c.reply.Started()) {
-		return pgwire.ErrUnexpectedMessage
+	if unsolicited {
+		if done || c.reply.Started() {
+			return pgwire.ErrUnexpectedMessage
+		}
+		*c.reply = pgwire.Reply{}
+		return nil
 	}
 	if !done {
 		return nil
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
@@ -83,6 +84,28 @@
 	}
 }
 
+// TestStatusBetweenReplies guards against taking the status that a node reports while no query is in flight for a part of
+// its next reply: a position from before a write would become the write's.
+func TestStatusBetweenReplies(t *testing.T) {
+	s := scriptedserver.Start(t, scriptedserver.Welcome, scriptedserver.Row+scriptedserver.Ready,
+		scriptedserver.Row+scriptedserver.Status("role", "replica")+scriptedserver.Ready)
+	p, harness := startPool(t, 9, s)
+	harness.send(p, "n0", 0)
+	if got := <-harness.results; got.outcome != routing.Answered {
+		t.Fatal(got.outcome)
+	}
+	io.WriteString(s.Opened()[0], scriptedserver.Status("applied_ms", "1")+scriptedserver.Status("role", "primary")+scriptedserver.Status("load", "x0=1"))
+	time.Sleep(50 * time.Millisecond)
+	harness.send(p, "n0", 0)
+	got := <-harness.results
+	if want := (pgwire.NodeReport{Replica: true}); got.outcome != routing.Answered || got.reply.NodeReport != want {
+		t.Errorf("outcome %v, status %+v, want %+v", got.outcome, got.reply.NodeReport, want)
+	}
+	if n := len(s.Opened()); n != 1 {
+		t.Errorf("%d connections, want the same one", n)
+	}
+}
+
 // TestTrailingBytesAfterReply checks that a reply followed by further bytes is used and that its connection is not
 // reused, also if those bytes arrive in a segment of their own.
 func TestTrailingBytesAfterReply(t *testing.T) {
