Drop what a node reports in reply to queries from before it moved to another shard

What callers could see: a read gets data that is too old after the endpoint list has moved a node to another shard. An attempt or a health check that began before the move is answered after it, and its position and role counted for the data of the node's new shard; so did another router's observation from before, and a miss made the new shard forget its primary.

Cause: reports are attributed to a node by its name at the time of the answer.

Change: a health check carries the shard that its node belonged to, as a command does; what is reported in reply counts only while the node belongs to it (Router.InShard). Observations of other routers count from the time on at which this router learned of the move.

Tests that failed before: TestReportsOfFormerShard (sockets; the unmoved node as a control), TestObservationsBeforeMoveAreIgnored.

--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -44,7 +44,7 @@
 	h.results <- result{outcome: o, reply: r}
 }
 
-func (h *poolHarness) HealthCheckEnded(_ int64, _ string, o routing.Outcome, load string) {
+func (h *poolHarness) HealthCheckEnded(_ int64, _ inflight.HealthCheck, o routing.Outcome, load string) {
 	h.results <- result{outcome: o, load: load}
 }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -125,7 +125,9 @@
 }
 
 // CheckHealth implements inflight.NodeConnections.
-func (p *Pool) CheckHealth(name string) { p.startQuery(&query{}, name) }
+func (p *Pool) CheckHealth(check inflight.HealthCheck) {
+	p.startQuery(&query{check: check}, check.Node)
+}
 
 // Cancel implements inflight.NodeConnections.
 func (p *Pool) Cancel(attempt *inflight.Attempt) (mayHaveRun bool) {
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -204,7 +204,7 @@
 	p, harness := startPool(t, 9, s)
 	for _, want := range []result{{outcome: routing.Answered, load: value}, {outcome: routing.Errored}, {outcome: routing.TimedOut}} {
 		harness.mu.Lock()
-		p.CheckHealth("n0")
+		p.CheckHealth(inflight.HealthCheck{Node: "n0"})
 		harness.mu.Unlock()
 		if got := <-harness.results; got.outcome != want.outcome || got.load != want.load {
 			t.Errorf("%+v, want %+v", got, want)
--- a/internal/backend/query.go
+++ b/internal/backend/query.go
@@ -15,6 +15,7 @@
 // query is an attempt, or a health check if attempt is nil. A connection carries one query at a time.
 type query struct {
 	attempt       *inflight.Attempt
+	check         inflight.HealthCheck // if attempt is nil
 	node          *node
 	conn          *connection // the connection that carries it; nil while it waits for one
 	writeFinished bool        // the write has succeeded or failed
@@ -172,7 +173,7 @@
 	if reply != nil && outcome == routing.Answered {
 		load = string(reply.Column)
 	}
-	p.handler.HealthCheckEnded(now, q.node.name, outcome, load)
+	p.handler.HealthCheckEnded(now, q.check, outcome, load)
 }
 
 // postQueryEnd ends a query in a separate event, after the current call has returned: the routing module must not be
--- a/internal/engine/consistency_test.go
+++ b/internal/engine/consistency_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cairntiller/internal/discovery"
 	"cairntiller/internal/metrics"
 	"cairntiller/internal/pgwire"
 	"cairntiller/internal/testcluster/scriptedserver"
@@ -100,6 +101,53 @@
 	return strconv.FormatInt(time.Now().Add(-age).UnixMilli(), 10)
 }
 
+// TestReportsOfFormerShard guards against reads that miss data because their node's position was reported in reply to an
+// attempt or a health check that began before the list moved it to another shard, whose data the position applies to.
+func TestReportsOfFormerShard(t *testing.T) {
+	value := fmt.Sprintf("x0=%d,x1=0", time.Now().Unix())
+	load := pgwire.Frame{Type: 'D', Body: []byte("\x00\x01\x00\x00\x00" + string(rune(len(value))) + value)}.Append(nil)
+	for name, c := range map[string]struct {
+		start func(t *testing.T, r *testRouter)
+		reply string
+	}{
+		"attempt": {
+			func(t *testing.T, r *testRouter) { sendCommand(r.dial(t), "1", "look", "900") },
+			scriptedserver.Row + scriptedserver.Status("role", "replica") + scriptedserver.Status("applied_ms", millisAgo(0)) + scriptedserver.Ready,
+		},
+		"health check": {
+			func(t *testing.T, r *testRouter) {
+				r.dial(t) // the node is listed
+				r.engine.Post(0, func(int64) { r.engine.CheckHealth("n1") })
+			},
+			scriptedserver.RowStart + string(load) + scriptedserver.RowEnd + scriptedserver.Ready,
+		},
+	} {
+		for _, moves := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/moves_%v", name, moves), func(t *testing.T) {
+				node := scriptedserver.Start(t, scriptedserver.Welcome, "", scriptedserver.Row+scriptedserver.Ready)
+				r := startRouter(t, 9, scriptedserver.Start(t, scriptedserver.Welcome), node)
+				c.start(t, r)
+				<-node.Queries
+				shard, want := 0, "row"
+				if moves {
+					shard, want = 1, "53300"
+					r.engine.Post(0, func(now int64) {
+						r.engine.ApplyEndpointList(now, &discovery.EndpointList{Version: 2, Endpoints: []discovery.Endpoint{
+							{Name: "n1", Address: node.Addr, Zone: "a", Kind: "m", Shard: shard}}})
+					})
+				}
+				io.WriteString(node.Opened()[0], c.reply)
+				time.Sleep(20 * time.Millisecond) // the reply is handled
+				reader := r.dial(t)
+				reader.Write(pgwire.AppendQuery(nil, fmt.Sprintf("/* id=2,c=own,t=acme,d=900,cluster=%d,after=%s */ SELECT data FROM facts WHERE code = 'k'", shard, millisAgo(2*time.Second))))
+				if got := summary(readUntil(t, reader, 'Z')); got != want {
+					t.Errorf("read of the session: %q, want %q", got, want)
+				}
+			})
+		}
+	}
+}
+
 // loadReport is a node's load report along with an answer: the position that it had some time ago, and its role.
 func loadReport(age time.Duration, primary string) string {
 	at := time.Now().Add(-age).UnixMilli()
--- a/internal/engine/node_reports.go
+++ b/internal/engine/node_reports.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"cairntiller/internal/decimal"
+	"cairntiller/internal/inflight"
 	"cairntiller/internal/metrics"
 	"cairntiller/internal/pgwire"
 	"cairntiller/internal/routing"
@@ -22,7 +23,11 @@
 const primaryThreshold = 500_000
 
 // HealthCheckEnded implements inflight.AttemptHandler.
-func (e *Engine) HealthCheckEnded(now int64, node string, outcome routing.Outcome, load string) {
+func (e *Engine) HealthCheckEnded(now int64, check inflight.HealthCheck, outcome routing.Outcome, load string) {
+	node := check.Node
+	if !e.router.InShard(node, check.Shard) {
+		load = ""
+	}
 	position, role := e.applyLoadReport(now, node, load)
 	e.router.HealthChecked(now, node, outcome)
 	if e.sharedProbes != nil {
@@ -31,7 +36,9 @@
 }
 
 // CheckHealth requests a node's load report; HealthCheckEnded receives the outcome.
-func (e *Engine) CheckHealth(node string) { e.connections.CheckHealth(node) }
+func (e *Engine) CheckHealth(node string) {
+	e.connections.CheckHealth(inflight.HealthCheck{Node: node, Shard: e.router.ShardOf(node)})
+}
 
 // ApplyGossip passes another router's observation of a node to the routing module, without its position if that is
 // implausible.
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -92,7 +92,7 @@
 	if outcome == routing.Answered && request.Answer(reply.RowMessages) {
 		e.unanswered.add(-1)
 	}
-	if reply != nil {
+	if reply != nil && e.router.InShard(attempt.Node, request.Command.Shard) {
 		position = e.applyReplyStatus(now, attempt.Node, reply)
 	}
 	e.router.AttemptEnded(now, routing.AttemptResult{
--- a/internal/engine/router_actions.go
+++ b/internal/engine/router_actions.go
@@ -60,7 +60,7 @@
 }
 
 // CheckHealth implements routing.Actions.
-func (a routerActions) CheckHealth(node string) { a.engine.connections.CheckHealth(node) }
+func (a routerActions) CheckHealth(node string) { a.engine.CheckHealth(node) }
 
 // CloseIdleConnections implements routing.Actions.
 func (a routerActions) CloseIdleConnections(node string) { a.engine.connections.CloseIdle(node) }
--- a/internal/inflight/interfaces.go
+++ b/internal/inflight/interfaces.go
@@ -37,7 +37,7 @@
 	// returns whether the node may have received the attempt.
 	Cancel(attempt *Attempt) (mayHaveRun bool)
 	// CheckHealth requests a node's load report; the outcome is reported to AttemptHandler.HealthCheckEnded.
-	CheckHealth(node string)
+	CheckHealth(check HealthCheck)
 	// CloseIdle closes the idle connections to a node.
 	CloseIdle(node string)
 	// RecheckWaiting ends the attempts that wait for a connection to a node and that AttemptHandler.MayStart no longer
@@ -55,5 +55,11 @@
 	// nothing.
 	MayStart(now int64, attempt *Attempt) bool
 	AttemptEnded(now int64, attempt *Attempt, outcome routing.Outcome, reply *pgwire.Reply)
-	HealthCheckEnded(now int64, node string, outcome routing.Outcome, load string)
+	HealthCheckEnded(now int64, check HealthCheck, outcome routing.Outcome, load string)
+}
+
+// HealthCheck is a request for a node's load report.
+type HealthCheck struct {
+	Node  string
+	Shard int // the shard that the node belonged to when the check began; 0 if the node was unknown
 }
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -58,7 +58,7 @@
 		n = r.addNode(e.Name, s)
 	}
 	if n.shard != s {
-		n.moveToShard(s)
+		n.moveToShard(s, now)
 		r.actions.RecheckWaiting(n.name)
 	}
 	if e.StartedAt != n.startedAt {
--- a/internal/routing/endpoints_test.go
+++ b/internal/routing/endpoints_test.go
@@ -116,3 +116,30 @@
 		t.Errorf("%s is still the primary of its former shard", p)
 	}
 }
+
+// Guards against applying what was learned about a node before the list moved it to another shard: another router's
+// observation, and a miss of an attempt that began there. Both tell nothing of the shard that it belongs to now.
+func TestObservationsBeforeMoveAreIgnored(t *testing.T) {
+	h := newHarness(t, 1)
+	h.sendFullList(2, 2)
+	h.observeReply("g0n0", Primary, 0)
+	h.sendRequest("w", plainWrite, 0, 4e6, 0)
+	learnedAt := h.now
+	h.advance(1_000)
+	h.shardOf["g0n0"] = 1
+	h.sendListChange("g0n0")
+	h.positions["g0n0"] = 0
+	h.router.GossipReceived(h.now, GossipUpdate{Node: "g0n0", LearnedAt: learnedAt, Position: learnedAt, Role: Primary})
+	if n := h.node("g0n0"); n.position != 0 || n.shard.primary == n {
+		t.Errorf("position %d, primary %v from before the move", n.position, n.shard.primary == n)
+	}
+	h.router.GossipReceived(h.now, GossipUpdate{Node: "g0n0", LearnedAt: h.now + 1, Position: 7})
+	if n := h.node("g0n0"); n.position != 7 {
+		t.Errorf("position %d, want the one learned after the move", n.position)
+	}
+	h.observeReply("g0n0", Primary, 0)
+	h.router.AttemptEnded(h.now, AttemptResult{RequestID: "w", Outcome: NotPrimary})
+	if p := h.primary(1); p != "g0n0" {
+		t.Errorf("the primary of its shard is %q after a miss of an attempt for the former one", p)
+	}
+}
--- a/internal/routing/gossip.go
+++ b/internal/routing/gossip.go
@@ -24,6 +24,10 @@
 	if n == nil {
 		return
 	}
+	if u.LearnedAt <= n.movedAt { // learned while it belonged to another shard
+		u.Position = 0
+		u.Role = RoleUnknown
+	}
 	if u.LearnedAt > n.positionAt {
 		r.observePosition(n, u.Position, u.LearnedAt)
 	} else {
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -14,6 +14,7 @@
 	listedPrimary bool  // the list marks it as its shard's primary
 	startedAt     int64 // when its process started, 0 for long ago
 	removedAt     int64 // when it left the list, 0 if it is listed
+	movedAt       int64 // when the list moved it to its shard from another one, 0 if never
 	forgotten     bool  // its name was dropped; only its warmRate is still used, until its slot is reused
 
 	// State observed from the node itself (primary.go, consistency.go).
@@ -78,9 +79,24 @@
 	r.actions.ForgetNode(n.name)
 }
 
+// ShardOf returns the number of the shard that a node belongs to; 0 if the node is unknown.
+func (r *Router) ShardOf(name string) int {
+	if n := r.nodeByName[name]; n != nil {
+		return n.shard.number
+	}
+	return 0
+}
+
+// InShard reports whether a node belongs to a shard. What it reports in reply to a query that began while it belonged to
+// another shard applies to the other shard's data.
+func (r *Router) InShard(name string, shard int) bool {
+	n := r.nodeByName[name]
+	return n != nil && n.shard.number == shard
+}
+
 // moveToShard moves a node to the shard that the endpoint list now assigns it to. Its observed role and position are
 // reset because they applied to the other shard's data.
-func (n *node) moveToShard(s *shard) {
+func (n *node) moveToShard(s *shard, now int64) {
 	n.shard.remove(n)
 	s.members = append(s.members, n)
 	n.shard = s
@@ -90,6 +106,7 @@
 	n.position = 0
 	n.positionAt = 0
 	n.lag = 0
+	n.movedAt = now
 }
 
 // usable reports whether a node may receive attempts now.
--- a/internal/routing/outlier_detection.go
+++ b/internal/routing/outlier_detection.go
@@ -53,7 +53,9 @@
 			r.increaseLimit(n, group)
 		}
 	case NotPrimary:
-		r.observeRole(n, Replica, now)
+		if n.shard == a.request.shard {
+			r.observeRole(n, Replica, now)
+		}
 	case Errored, ConnectionLost:
 		n.recordError()
 	case Rejected:
