Add a soak on sockets: sessions read their own writes while primaries hand over

Connections come up late, answers are cut off behind an old load report, primaries hand over and lag, nodes hang, connections are reset.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run demo proof-duties proof-statements proof-leases proof-releases proof-noisy-clients
+.PHONY: build test race lint run demo proof-duties proof-statements proof-leases proof-releases proof-noisy-clients proof-failovers
 
 # runs the deploy file's build line, which needs a C compiler; without one: go build -o bin/ ./cmd/...
 build:
@@ -58,6 +58,11 @@
 proof-noisy-clients: build
 	bin/proof noisy-clients --from $(SEED) --seeds $(SEEDS)
 
+# sessions read their own writes while primaries hand over and the network fails; 20 s a seed
+FAILOVER_SEEDS ?= 30
+proof-failovers: build
+	bin/proof failovers --from $(SEED) --seeds $(FAILOVER_SEEDS)
+
 # a corpus of statements with known classes, and a skewed mix of statement shapes
 proof-statements: build
 	bin/proof statements --seed $(SEED)
--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"cairntiller/internal/supervisor"
+	"cairntiller/internal/testcluster/failovers"
 	"cairntiller/internal/testcluster/noisyclients"
 	"cairntiller/internal/testcluster/process"
 	"cairntiller/internal/testcluster/proof"
@@ -30,6 +31,7 @@
 	Releases           releasesCommand          `cmd:"" help:"Rollout plans of router processes and nodes under load; no more may be out at once than the budget allows."`
 	ReleasesSimulation rolloutSimulationCommand `cmd:"" help:"The decision module of rollouts in simulated time, under mixed faults and with injected bugs."`
 	NoisyClients       noisyClientsCommand      `cmd:"" help:"Clients that misuse a router, beside ordinary ones, signals and a planned restart; from seeds."`
+	Failovers          failoversCommand         `cmd:"" help:"Sessions read their own writes through a router while primaries hand over and the network fails; from seeds."`
 	Child              childCommand             `cmd:"" hidden:""`
 	proof.HiddenCommands
 }
@@ -187,6 +189,20 @@
 	return printResult(noisyclients.SoakProof{From: c.From, Seeds: c.Seeds, Program: c.Router, Log: logWriter(c.Log), Output: os.Stdout}.Run())
 }
 
+// failoversCommand runs the soak of sessions during hand-overs.
+type failoversCommand struct {
+	From   uint64        `default:"1" help:"First seed."`
+	Seeds  uint64        `default:"30" help:"Number of seeds."`
+	Length time.Duration `default:"20s" help:"Length of each."`
+	Router string        `type:"existingfile" default:"bin/cairntiller" help:"Executable of the router."`
+	Log    bool          `help:"Print the log of the routers."`
+}
+
+// Run runs the soak.
+func (c *failoversCommand) Run() error {
+	return printResult(failovers.SoakProof{From: c.From, Seeds: c.Seeds, Length: c.Length, Program: c.Router, Log: logWriter(c.Log), Output: os.Stdout}.Run())
+}
+
 // parseSizes parses a comma-separated list of sizes, such as 3x10,30x1000.
 func parseSizes(text string) (all [][2]int, err error) {
 	if text == "" {
--- a/internal/testcluster/client/client.go
+++ b/internal/testcluster/client/client.go
@@ -20,6 +20,7 @@
 	Value     string
 	ErrorCode string // SQLSTATE of an error, "" if the answer is a row
 	Took      time.Duration
+	id        string
 }
 
 // Session is the session of one client.
@@ -30,7 +31,14 @@
 	lastSent            int
 	lastAnswered        int // number of the last write that was answered without an error
 	lastPossiblyApplied int // number of the last write that was sent and may have been executed
+	lastAnsweredAt      int64
 	Violations          []string
+	// RouterName is put in front of the commands' ids, with a dot, unless it is empty.
+	RouterName string
+	// CarriesToken makes reads carry the time of the session's last answer to a write as the position that they must see.
+	CarriesToken bool
+	// Excused reports whether a read, by its id, may see older data than its session requires; nil if none may.
+	Excused func(id string) bool
 }
 
 // New returns a session that writes and reads the row of a key and waits up to timeout for each answer. It connects when it
@@ -124,6 +132,7 @@
 			s.Violations = append(s.Violations, fmt.Sprintf("session %s wrote %d, but the answer was %q", s.key, s.lastSent, a.Value))
 		}
 		s.lastAnswered = s.lastSent
+		s.lastAnsweredAt = time.Now().UnixMilli() + 1 // not before the commit
 	}
 	return a, err
 }
@@ -141,7 +150,8 @@
 			return a, nil
 		}
 	}
-	if readOwnWrites && n < s.lastAnswered || n > s.lastPossiblyApplied {
+	isStale := readOwnWrites && n < s.lastAnswered && (s.Excused == nil || !s.Excused(a.id))
+	if isStale || n > s.lastPossiblyApplied {
 		s.Violations = append(s.Violations, fmt.Sprintf("session %s read %d, but its last answered write is %d and its last sent write is %d", s.key, n, s.lastAnswered, s.lastPossiblyApplied))
 	}
 	return a, nil
@@ -156,8 +166,16 @@
 	}
 	start := time.Now()
 	id := fmt.Sprintf("%s-%d-%d", s.key, s.lastSent, start.UnixNano())
+	if s.RouterName != "" {
+		id = s.RouterName + "." + id
+	}
+	token := ""
+	if s.CarriesToken && s.lastAnsweredAt > 0 {
+		token = fmt.Sprintf(",after=%d", s.lastAnsweredAt)
+	}
+	a.id = id
 	s.conn.SetDeadline(start.Add(s.timeout + lateTolerance))
-	query := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d */ %s", id, class, s.timeout.Milliseconds(), shard, text)
+	query := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d%s */ %s", id, class, s.timeout.Milliseconds(), shard, token, text)
 	rows := 0
 	if _, err = s.conn.Write(pgwire.AppendQuery(nil, query)); err == nil {
 		err = ReadReply(s.conn, func(f pgwire.Frame) {
--- a/internal/testcluster/cluster/cluster.go
+++ b/internal/testcluster/cluster/cluster.go
@@ -38,6 +38,7 @@
 	WorkPerCommand time.Duration // time for which a command occupies a core of a node; 2 ms
 	RouterMemoryMB int           // memory limit in the routers' configuration; 192
 	RouterProgram  string        // executable of the routers; this program's executable
+	CarriedTokens  bool          // whether clients carry their sessions' tokens; otherwise routers keep them
 }
 
 func (c Config) withDefaults() Config {
@@ -134,11 +135,15 @@
 // configuration returns the platform configuration of a router, encoded as JSON.
 func (c *Cluster) configuration(name, listen string, siblings int) ([]byte, error) {
 	type object map[string]any
+	writeMarks := "kept"
+	if c.config.CarriedTokens {
+		writeMarks = "carried"
+	}
 	return json.Marshal(object{"name": name, "listen": listen, "discovery": c.Discovery.Address(), "seed": "8c1f30d27a5be964",
 		"limits": object{"cores": 1, "memory_mb": c.config.RouterMemoryMB, "sockets": 1024},
 		"settings": object{"az": "a", "siblings": siblings, "round": 5,
 			"classes": []commandClass{{ClassReadAny, "safe", 400, 1000, 1}, {ClassReadOwn, "safe", 400, 1000, 1}, {ClassWrite, "unsafe", 400, 1000, 1}},
-			"domain":  object{"readLevel": []string{"any", "session", "write"}, "oldestData": []int{0, 0, 0}, "writeMarks": "kept"},
+			"domain":  object{"readLevel": []string{"any", "session", "write"}, "oldestData": []int{0, 0, 0}, "writeMarks": writeMarks},
 			"limits":  object{"maxAttempts": 8, "cancel": true, "probes": true, "connectTimeout": 250, "connIdle": 15000},
 			"report":  object{"how": "answers", "fields": []string{"x0", "x1", "inflight"}}}})
 }
--- a/internal/testcluster/database/cluster.go
+++ b/internal/testcluster/database/cluster.go
@@ -34,6 +34,7 @@
 	nodes      []*Node
 	executions map[string]int   // number of executions of each mutating command, by id
 	arrivals   map[string]int64 // us: when each mutating command last arrived at a node, by id
+	excused    map[string]bool  // ids of the reads that may have seen older data
 	violations []string         // descriptions of broken rules, as observed by the nodes
 	drainGrace int64            // us after the start of a drain from which on a node must not receive commands
 }
@@ -57,7 +58,7 @@
 	startTime := time.Now()
 	startMicros := startTime.UnixMicro()
 	return &Cluster{now: func() int64 { return startMicros + time.Since(startTime).Microseconds() },
-		random: rand.New(rand.NewPCG(seed, 2)), shards: map[int]*shard{}, executions: map[string]int{}, arrivals: map[string]int64{}, drainGrace: drainGrace}
+		random: rand.New(rand.NewPCG(seed, 2)), shards: map[int]*shard{}, executions: map[string]int{}, arrivals: map[string]int64{}, excused: map[string]bool{}, drainGrace: drainGrace}
 }
 
 // AddNode starts a node. The first node of a shard is its primary. Each command occupies one of the node's cores for
@@ -110,6 +111,14 @@
 	return c.arrivals[id]
 }
 
+// Excused reports whether a read was answered by a former primary that it reached before its router had to know of the new
+// role. If a cluster has several routers, a command's id must name its router (see routerOf).
+func (c *Cluster) Excused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.excused[id]
+}
+
 // Violations returns a description of each rule violation that the nodes observed.
 func (c *Cluster) Violations() []string {
 	c.mu.Lock()
--- a/internal/testcluster/database/node.go
+++ b/internal/testcluster/database/node.go
@@ -25,6 +25,12 @@
 	startedAt      int64 // time of the last restart in us, 0 if it was never restarted
 	warmUp         int64 // us after a restart during which the node is slow
 	drainingSince  int64 // start of the drain in us, 0 if not draining
+	applied        int64 // highest position so far; a node keeps what it has applied
+	wasPrimary     bool
+	toldReplicaAt  map[string]int64 // us: when it first answered each router as a replica since it was the primary
+	faults         NetworkFaults
+	lastReport     string // the latest load report along with an answer
+	lastReportAt   int64
 
 	probeTimes   []int64
 	commandCount int // number of commands received
@@ -79,16 +85,22 @@
 	defer n.cluster.mu.Unlock()
 	n.cluster.advanceLog(n.Shard)
 	for conn := range n.connections {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		conn.Close()
+		resetConnection(conn)
 	}
 	if s := n.cluster.shards[n.Shard]; s.primary == n {
-		s.primary = nil
+		n.demote()
 	}
 }
 
+// demote takes the role of the primary away. The node keeps what it has applied, and has told no router yet. The caller holds
+// the lock.
+func (n *Node) demote() {
+	n.appliedPosition()
+	n.wasPrimary = true
+	n.toldReplicaAt = map[string]int64{}
+	n.cluster.shards[n.Shard].primary = nil
+}
+
 // Restart starts a killed node again at its previous address, as a replica that warms up for warmUp us.
 func (n *Node) Restart(warmUp int64) error {
 	n.cluster.mu.Lock()
@@ -155,7 +167,11 @@
 	n.cluster.advanceLog(n.Shard)
 	n.applyLag = defaultApplyLag
 	n.pausedAt = 0
-	n.cluster.shards[n.Shard].primary = n
+	s := n.cluster.shards[n.Shard]
+	if former := s.primary; former != nil {
+		former.demote()
+	}
+	s.primary = n
 }
 
 // IsPrimary reports whether the node is its shard's primary.
@@ -190,11 +206,13 @@
 func (n *Node) appliedPosition() int64 {
 	n.cluster.advanceLog(n.Shard)
 	s := n.cluster.shards[n.Shard]
+	position := min(s.position, n.cluster.now()-n.applyLag)
 	switch {
 	case s.primary == n:
-		return s.position
+		position = s.position
 	case n.pausedAt > 0:
-		return n.pausedAt
+		position = n.pausedAt
 	}
-	return min(s.position, n.cluster.now()-n.applyLag)
+	n.applied = max(n.applied, position)
+	return n.applied
 }
--- a/internal/testcluster/database/protocol.go
+++ b/internal/testcluster/database/protocol.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"strconv"
@@ -45,9 +46,14 @@
 			if len(reply) == 0 {
 				continue
 			}
+			reply, isCutOff := n.passThroughNetwork(reply, routerOf(frame.Body))
 			if _, err := conn.Write(reply); err != nil {
 				return
 			}
+			if isCutOff {
+				resetConnection(conn)
+				return
+			}
 		}
 	}
 }
@@ -60,6 +66,7 @@
 		if n.isHung() {
 			return nil, true
 		}
+		time.Sleep(n.startupDelay())
 		return pgwire.AppendStartupResponse(nil, false, 1, 0), true
 	}
 	statement, ok := pgwire.DecodeQuery(frame)
@@ -85,7 +92,7 @@
 		n.cluster.recordViolation("node %s received a statement that can't be decoded: %v", n.Name, err)
 		return pgwire.AppendError(nil, false, pgwire.CodeProtocolViolation, "unreadable", 0), true
 	}
-	work, queued, rejection := n.enqueue(cmd, isWrite(statement))
+	work, queued, rejection := n.enqueue(cmd, statement)
 	if !queued {
 		return rejection, rejection != nil
 	}
@@ -114,12 +121,12 @@
 
 // enqueue admits a command and returns its processing time. If the command isn't queued, rejection is the reply to it, nil if
 // the node sends none.
-func (n *Node) enqueue(cmd *pgwire.Command, isWrite bool) (work time.Duration, queued bool, rejection []byte) {
+func (n *Node) enqueue(cmd *pgwire.Command, statement string) (work time.Duration, queued bool, rejection []byte) {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	now := n.cluster.now()
 	n.commandCount++
-	if isWrite {
+	if isWrite(statement) {
 		n.cluster.arrivals[cmd.ID] = now
 	}
 	if n.drainingSince > 0 && now > n.drainingSince+n.cluster.drainGrace {
@@ -132,6 +139,7 @@
 		return 0, false, pgwire.AppendError(nil, false, pgwire.CodeRejected, "too many queued commands", 0)
 	}
 	n.queued++
+	n.recordExcuse(cmd.ID, routerOf([]byte(statement)), now)
 	return n.commandDuration(now), true, nil
 }
 
@@ -160,7 +168,8 @@
 		return n.appendStatus(encodeRow(value, "SELECT 1"), s.primary == n, pos), true
 	}
 	if s.primary != n {
-		return pgwire.AppendError(nil, false, pgwire.CodeNoPrimary, "no primary", 0), true
+		miss := bytes.TrimSuffix(pgwire.AppendError(nil, false, pgwire.CodeNoPrimary, "no primary", 0), []byte(readyForQuery))
+		return n.appendStatus(miss, false, pos), true
 	}
 	if n.cluster.executions[cmd.ID]++; n.cluster.executions[cmd.ID] > 1 {
 		n.cluster.recordViolation("command %s was executed %d times", cmd.ID, n.cluster.executions[cmd.ID])
@@ -205,7 +214,7 @@
 		role = "primary"
 	}
 	for _, parameter := range [][2]string{{"role", role}, {"applied_ms", strconv.FormatFloat(float64(pos)/1000, 'f', 3, 64)},
-		{"load", n.loadReport()}} {
+		{"load", n.periodicLoadReport()}} {
 		reply = pgwire.Frame{Type: 'S', Body: []byte(parameter[0] + "\x00" + parameter[1] + "\x00")}.Append(reply)
 	}
 	return append(reply, readyForQuery...)
