End waiting attempts of concluded requests as not sent, and build the soaks' router in one place

Found by reading the whole change: an attempt that waits for a connection while its client leaves was counted under "attempts withdrawn" and no longer under "attempts too late to start", because the routing module is asked first and does not permit a finished request either. Nothing was sent in either case. The pool asks only for attempts of open requests now; TestAttemptIsRecheckedBeforeSending has a row that failed before.

--- a/internal/backend/query.go
+++ b/internal/backend/query.go
@@ -54,10 +54,10 @@
 	p.write(c, q)
 }
 
-// withdraw ends a waiting query if it is an attempt that may no longer start: what its decision rested on may have
-// changed while it waited. The caller removes it from the waiting ones.
+// withdraw ends a waiting query if it is an attempt whose node may no longer serve it: what its decision rested on may have
+// changed while it waited. The caller removes it from the waiting ones. An attempt of a concluded request is left to write.
 func (p *Pool) withdraw(now int64, q *query) (withdrawn bool) {
-	if q.attempt == nil || p.handler.MayStart(now, q.attempt) {
+	if q.attempt == nil || q.attempt.Request.Concluded() || p.handler.MayStart(now, q.attempt) {
 		return false
 	}
 	p.postQueryEnd(q, routing.Withdrawn)
--- a/internal/backend/race_conditions_test.go
+++ b/internal/backend/race_conditions_test.go
@@ -33,6 +33,10 @@
 		"no change":           {connectedClient{}, 400_000, nil, routing.Answered},
 		"client disconnected": {disconnectedClient{}, 0, nil, routing.NotSent},
 		"request concluded":   {connectedClient{}, 0, func(_ *backend.Pool, _ *poolHarness, x *inflight.Request) { x.ClientGone() }, routing.NotSent},
+		"request concluded, node no longer permitted": {connectedClient{}, 0, func(_ *backend.Pool, h *poolHarness, x *inflight.Request) {
+			x.ClientGone()
+			h.refuses = true
+		}, routing.NotSent},
 		"start window passed": {connectedClient{}, 1, nil, routing.NotSent},
 		"checked, still permitted": {connectedClient{}, 0, func(p *backend.Pool, h *poolHarness, _ *inflight.Request) {
 			p.RecheckWaiting(h.now(), "n0")
--- a/internal/testcluster/cluster/router.go
+++ b/internal/testcluster/cluster/router.go
@@ -45,6 +45,22 @@
 	exited chan struct{} // closed when the process has exited
 }
 
+// BuildRouter builds the router's executable, without the race detector, with the Go tool chain. The caller removes it once it
+// is no longer needed.
+func BuildRouter() (program string, remove func(), err error) {
+	folder, err := os.MkdirTemp("", "router")
+	if err != nil {
+		return "", nil, err
+	}
+	remove = func() { os.RemoveAll(folder) }
+	program = filepath.Join(folder, "cairntiller")
+	if out, err := exec.Command("go", "build", "-o", program, "cairntiller/cmd/cairntiller").CombinedOutput(); err != nil {
+		remove()
+		return "", nil, fmt.Errorf("%w: %s", err, out)
+	}
+	return program, remove, nil
+}
+
 // current returns the latest process, nil if the router was never started.
 func (r *Router) current() *process {
 	r.mu.Lock()
--- a/internal/testcluster/failovers/failovers_test.go
+++ b/internal/testcluster/failovers/failovers_test.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
+
+	"cairntiller/internal/testcluster/cluster"
 )
 
 // routerProgram is the router's executable.
@@ -16,17 +16,13 @@
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "failovers")
+	program, remove, err := cluster.BuildRouter()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(folder)
-	routerProgram = filepath.Join(folder, "cairntiller")
-	if out, err := exec.Command("go", "build", "-o", routerProgram, "cairntiller/cmd/cairntiller").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
-		return 1
-	}
+	defer remove()
+	routerProgram = program
 	return m.Run()
 }
 
