Let a withdrawn request go to another node also after its queue time

What callers could see: a read that waits at a former primary for a connection is withdrawn, because another node has answered as the primary, and is rejected although that node could serve it: its queue time had passed while it waited.

Change: a request whose attempt was withdrawn passes the stages once regardless of its queue time.

Test: TestWithdrawnAfterQueueTime failed before where another primary is known; the row without one checks that the read is given up.

--- a/internal/routing/deadlines.go
+++ b/internal/routing/deadlines.go
@@ -62,9 +62,10 @@
 	return stop
 }
 
-// mustGiveUp reports whether a request may no longer be sent.
+// mustGiveUp reports whether a request may no longer be sent. One whose attempt was withdrawn gets one more pass after its
+// queue time: that attempt was decided in time, and another node may be able to serve the request now.
 func (r *Router) mustGiveUp(req *request, now int64) bool {
-	if now >= req.queueUntil && !req.mayHaveExecuted && req.inFlight == 0 {
+	if now >= req.queueUntil && !req.decidedAgain && !req.mayHaveExecuted && req.inFlight == 0 {
 		return true
 	}
 	return !r.mayRetry(req, now)
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -61,6 +61,7 @@
 	inlineAttempts [2]*attempt // initial backing array of attempts, which avoids an allocation for most requests
 	inFlight       int         // attempts that have not ended
 	withdrawn      int         // attempts that ended as Withdrawn
+	decidedAgain   bool        // it passes the stages because an attempt was withdrawn
 
 	mayHaveExecuted bool  // an attempt that ended may have executed it
 	firstExecutedAt int64 // start of the earliest such attempt
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -49,7 +49,9 @@
 		r.giveUp(req)
 		return
 	}
+	req.decidedAgain = outcome == Withdrawn
 	r.runStages(req, now)
+	req.decidedAgain = false
 }
 
 // giveUp gives a request its final answer: a rejection that permits a retry if a repeat is harmless, otherwise a
--- a/internal/routing/start_check_test.go
+++ b/internal/routing/start_check_test.go
@@ -143,6 +143,36 @@
 	}
 }
 
+// Guards against refusing a read because its attempt was withdrawn after its queue time: it must go to a node that can
+// serve it now. If there is none, it must not be queued for longer.
+func TestWithdrawnAfterQueueTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		role   Role // in the former primary's answer or, for Primary, in the other node's
+		target string
+	}{
+		"another primary": {Primary, "g0n1"},
+		"no primary":      {Replica, "0 attempts"},
+	} {
+		h := newShardHarness(t, 1, 2)
+		h.router.config.HealthChecks.Enabled = false
+		h.observeReply("g0n0", Primary, 0)
+		read := h.sendRequest("r", latestRead, 0, 1e6, 0)
+		h.inFlight[0].waiting = true
+		h.now = h.router.requests["r"].queueUntil + 1
+		if c.role == Primary {
+			h.observeReply("g0n1", Primary, 0)
+		} else {
+			h.observeReply("g0n0", Replica, 0)
+		}
+		if h.endAttempt(0, Withdrawn, RoleUnknown, 0); h.soleTarget() != c.target {
+			t.Errorf("%s: read sent to %s, want %s", name, h.soleTarget(), c.target)
+		}
+		if h.runSweeps(2); read.finished != (c.role == Replica) {
+			t.Errorf("%s: read given up: %v", name, read.finished)
+		}
+	}
+}
+
 // Guards against withdrawing a write that searches for the primary at a node that has answered as a replica before, and
 // against sending it to a node that has done so only since the decision, or while another one is known.
 func TestWaitingSearchForPrimary(t *testing.T) {
