Withdraw a keyed request's waiting attempt once the window of another one has passed

What callers could see: a keyed write takes effect twice. Its first attempt waits for a connection and has no latest start, because nothing could have been executed when it was decided; a hedged attempt is sent meanwhile and may have been executed; the first one is sent after the window in which the nodes drop repeats.

Change: MayStart asks for the window of the other attempts.

Test: TestFirstAttemptWaitsBeyondWindowOfHedge failed before at the end of the window; it checks that an only attempt has no window.

--- a/internal/routing/deadlines.go
+++ b/internal/routing/deadlines.go
@@ -77,5 +77,5 @@
 	if now >= req.deadline-deadlineMargin || req.attemptsUsed() >= r.config.Attempts.Max {
 		return false
 	}
-	return req.group.Idempotency != IdempotentWithKey || now < req.earliestExecution(now)+r.retryWindow(req.group)
+	return req.group.Idempotency != IdempotentWithKey || now < req.earliestExecution(nil, now)+r.retryWindow(req.group)
 }
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -93,15 +93,15 @@
 	if req.group.Idempotency != IdempotentWithKey || !req.mayHaveExecuted && req.inFlight == 0 {
 		return 0
 	}
-	return max(1, req.earliestExecution(now)+r.retryWindow(req.group)-now)
+	return max(1, req.earliestExecution(nil, now)+r.retryWindow(req.group)-now)
 }
 
-// earliestExecution returns the earliest time at which a request may have been executed: the start of an attempt that
-// is in flight or ended without proof that it wasn't executed. Without such an attempt it returns now.
-func (req *request) earliestExecution(now int64) int64 {
+// earliestExecution returns the earliest time at which an attempt other than except may have been executed: the start of
+// one that is in flight or ended without proof that it wasn't executed. Without such an attempt it returns now.
+func (req *request) earliestExecution(except *attempt, now int64) int64 {
 	first := cmp.Or(req.firstExecutedAt, now)
 	for _, a := range req.attempts {
-		if !a.ended {
+		if a != except && !a.ended {
 			first = min(first, a.startedAt)
 		}
 	}
--- a/internal/routing/start_check.go
+++ b/internal/routing/start_check.go
@@ -17,12 +17,25 @@
 	if a.ended || n.shard != req.shard || !r.listAllows(n) || r.warmsUpSince(a, now) {
 		return false
 	}
+	if !r.windowIsOpen(a, now) {
+		return false
+	}
 	if req.group.Consistency == Write {
 		return r.mayStillWrite(a, now)
 	}
 	return n.holds(req, r.requiredPositionToSend(a, now))
 }
 
+// windowIsOpen reports whether the idempotency window of another attempt that may have been executed is still open. When
+// the attempt was decided there may have been no other one.
+func (r *Router) windowIsOpen(a *attempt, now int64) bool {
+	req := a.request
+	if req.group.Idempotency != IdempotentWithKey || !req.mayHaveExecuted && req.inFlight == 1 {
+		return true
+	}
+	return now < req.earliestExecution(a, now)+r.retryWindow(req.group)
+}
+
 // warmsUpSince reports whether the node of an attempt has restarted since the attempt was decided, and warms up: the
 // attempt wasn't charged to its credit.
 func (r *Router) warmsUpSince(a *attempt, now int64) bool {
--- a/internal/routing/start_check_test.go
+++ b/internal/routing/start_check_test.go
@@ -173,6 +173,32 @@
 	}
 }
 
+// Guards against a keyed write that takes effect twice: its first attempt waits for a connection, a hedged one is sent and
+// may have been executed, and the first one could start after the key has been forgotten.
+func TestFirstAttemptWaitsBeyondWindowOfHedge(t *testing.T) {
+	h := newShardHarness(t, 2, 2)
+	h.observeReply("g0n0", Primary, 0)
+	id := openWaiting(h, "g0n0", keyedWrite)
+	h.now += modelIdempotencyWindow
+	if !h.router.MayStart(h.now, id, 0) {
+		t.Error("the only attempt withdrawn after a window that nothing has opened")
+	}
+	hedgedAt := h.now
+	h.router.openAttempt(h.router.requests[id], h.node("g0n1"), hedgedAt)
+	for _, c := range []struct {
+		at   int64
+		want bool
+	}{
+		{hedgedAt, true},
+		{hedgedAt + modelIdempotencyWindow - modelTimeResolution - 1, true},
+		{hedgedAt + modelIdempotencyWindow - modelTimeResolution, false},
+	} {
+		if got := h.router.MayStart(c.at, id, 0); got != c.want {
+			t.Errorf("%d us after the hedge: may start: %v", c.at-hedgedAt, got)
+		}
+	}
+}
+
 // Guards against withdrawing a write that searches for the primary at a node that has answered as a replica before, and
 // against sending it to a node that has done so only since the decision, or while another one is known.
 func TestWaitingSearchForPrimary(t *testing.T) {
