Play series of soak seeds in one place

The soaks of noisy clients and of failovers each had a loop over seeds, a count of broken ones and a result line of their own. soak.Series does it for both; a soak plays a seed (Soak.Play).

--- a/cmd/proof/main.go
+++ b/cmd/proof/main.go
@@ -19,6 +19,7 @@
 	"cairntiller/internal/testcluster/noisyclients"
 	"cairntiller/internal/testcluster/process"
 	"cairntiller/internal/testcluster/proof"
+	"cairntiller/internal/testcluster/soak"
 )
 
 // commandLine has one sub-command per proof, and the hidden ones that a proof starts as its processes.
@@ -186,7 +187,8 @@
 
 // Run runs the soak.
 func (c *noisyClientsCommand) Run() error {
-	return printResult(noisyclients.SoakProof{From: c.From, Seeds: c.Seeds, Program: c.Router, Log: logWriter(c.Log), Output: os.Stdout}.Run())
+	plays := noisyclients.Soak{Program: c.Router, Log: logWriter(c.Log)}
+	return printResult(soak.Series{Name: "noisy-clients", From: c.From, Seeds: c.Seeds, Output: os.Stdout}.Run(plays.Play))
 }
 
 // failoversCommand runs the soak of sessions during hand-overs.
@@ -200,7 +202,8 @@
 
 // Run runs the soak.
 func (c *failoversCommand) Run() error {
-	return printResult(failovers.SoakProof{From: c.From, Seeds: c.Seeds, Length: c.Length, Program: c.Router, Log: logWriter(c.Log), Output: os.Stdout}.Run())
+	plays := failovers.Soak{Length: c.Length, Program: c.Router, Log: logWriter(c.Log)}
+	return printResult(soak.Series{Name: "failovers", From: c.From, Seeds: c.Seeds, Output: os.Stdout}.Run(plays.Play))
 }
 
 // parseSizes parses a comma-separated list of sizes, such as 3x10,30x1000.
--- a/internal/testcluster/failovers/failovers_test.go
+++ b/internal/testcluster/failovers/failovers_test.go
@@ -30,12 +30,9 @@
 // to a node by what was known before they waited for a connection, and by positions of other messages than the write's.
 func TestSessionsSeeTheirWrites(t *testing.T) {
 	for seed := range uint64(4) {
-		result, err := Soak{Seed: seed, Length: 8 * time.Second, Program: routerProgram, Log: io.Discard}.Run()
+		line, err := Soak{Length: 8 * time.Second, Program: routerProgram, Log: io.Discard}.Play(seed)
+		t.Logf("seed %d: %s", seed, line)
 		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("seed %d: %s", seed, result)
-		if err := result.Err(); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
 		}
 	}
--- a/internal/testcluster/failovers/soak.go
+++ b/internal/testcluster/failovers/soak.go
@@ -40,7 +40,7 @@
 
 // Soak is a play drawn from a seed.
 type Soak struct {
-	Seed    uint64
+	seed    uint64
 	Length  time.Duration
 	Program string // executable of the router, "" for this program's
 	Log     io.Writer
@@ -57,8 +57,8 @@
 	return fmt.Sprintf("%d hand-overs, %d commands served, %d not served, %d violations", r.Handovers, r.Served, r.Failed, len(r.Violations))
 }
 
-// Err returns what broke a rule, and an error if nothing was tried.
-func (r Result) Err() error {
+// violated returns what broke a rule, and an error if nothing was tried.
+func (r Result) violated() error {
 	var broken []error
 	if r.Served == 0 || r.Handovers == 0 {
 		broken = append(broken, errNothingTried)
@@ -72,9 +72,16 @@
 // errNothingTried reports that no command was served, or no primary handed over.
 var errNothingTried = errors.New("nothing was tried")
 
-// Run plays it.
-func (s Soak) Run() (result Result, err error) {
-	c, err := cluster.NewFromConfig(cluster.Config{Seed: s.Seed, Shards: shards, NodesPerShard: nodesPerShard, WorkPerCommand: workPerCommand, RouterProgram: s.Program,
+// Play plays the soak of a seed, with all else as in s. It returns a line about it, and an error that joins all that broke a
+// rule.
+func (s Soak) Play(seed uint64) (line string, err error) {
+	s.seed = seed
+	result, err := s.run()
+	return result.String(), errors.Join(err, result.violated())
+}
+
+func (s Soak) run() (result Result, err error) {
+	c, err := cluster.NewFromConfig(cluster.Config{Seed: s.seed, Shards: shards, NodesPerShard: nodesPerShard, WorkPerCommand: workPerCommand, RouterProgram: s.Program,
 		CarriedTokens: s.roams()})
 	if err != nil {
 		return result, err
@@ -90,10 +97,10 @@
 	stop := make(chan struct{})
 	results := make(chan Result, sessions)
 	for i := range sessions {
-		random := rand.New(rand.NewPCG(s.Seed, uint64(i)))
+		random := rand.New(rand.NewPCG(s.seed, uint64(i)))
 		go func() { results <- playSession(c, routers, i, random, stop) }()
 	}
-	handovers := injectFaults(c, rand.New(rand.NewPCG(s.Seed, sessions)), time.Now().Add(s.Length))
+	handovers := injectFaults(c, rand.New(rand.NewPCG(s.seed, sessions)), time.Now().Add(s.Length))
 	close(stop)
 	for range sessions {
 		result.add(<-results)
@@ -109,7 +116,7 @@
 }
 
 // roams reports whether the sessions of a play carry their tokens and move between two routers.
-func (s Soak) roams() bool { return s.Seed%2 == 1 }
+func (s Soak) roams() bool { return s.seed%2 == 1 }
 
 // startRouters starts the routers of a play.
 func (s Soak) startRouters(c *cluster.Cluster) (routers []*cluster.Router, err error) {
@@ -218,31 +225,3 @@
 	}
 	return former
 }
-
-// SoakProof plays many soaks, one after the other.
-type SoakProof struct {
-	From, Seeds uint64
-	Length      time.Duration // of each
-	Program     string        // executable of the router
-	Log, Output io.Writer
-}
-
-// errBrokenSoak reports that a rule was broken in a soak.
-var errBrokenSoak = errors.New("a rule was broken")
-
-// Run plays them and returns the result line.
-func (p SoakProof) Run() (line string, err error) {
-	broken := 0
-	for seed := p.From; seed < p.From+p.Seeds; seed++ {
-		result, err := Soak{Seed: seed, Length: p.Length, Program: p.Program, Log: p.Log}.Run()
-		fmt.Fprintf(p.Output, "seed %d: %s\n", seed, result)
-		if err := errors.Join(err, result.Err()); err != nil {
-			broken++
-			fmt.Fprintf(p.Output, "seed %d is broken: %v\n", seed, err)
-		}
-	}
-	if broken > 0 {
-		return fmt.Sprintf("proof failovers: FAILS; broken=%d of seeds=%d from=%d", broken, p.Seeds, p.From), errBrokenSoak
-	}
-	return fmt.Sprintf("proof failovers: holds; seeds=%d from=%d", p.Seeds, p.From), nil
-}
--- a/internal/testcluster/noisyclients/noisyclients_test.go
+++ b/internal/testcluster/noisyclients/noisyclients_test.go
@@ -118,8 +118,8 @@
 // TestSoak plays a few seeds of the soak; cmd/proof plays as many as wanted.
 func TestSoak(t *testing.T) {
 	for seed := range uint64(4) {
-		line, err := Soak{Seed: seed, Program: routerProgram, Log: routerLog()}.Run()
-		t.Log(line)
+		line, err := Soak{Program: routerProgram, Log: routerLog()}.Play(seed)
+		t.Logf("seed %d: %s", seed, line)
 		if err != nil {
 			t.Errorf("seed %d: %v", seed, err)
 		}
--- a/internal/testcluster/noisyclients/soak.go
+++ b/internal/testcluster/noisyclients/soak.go
@@ -24,7 +24,7 @@
 // in series, and at the end a planned restart during which all clients go on using their open connections until the
 // kill.
 type Soak struct {
-	Seed    uint64
+	seed    uint64
 	Program string // executable of the router
 	Log     io.Writer
 }
@@ -51,43 +51,18 @@
 	return plan
 }
 
-// SoakProof plays many soaks, one after the other.
-type SoakProof struct {
-	From, Seeds uint64
-	Program     string // executable of the router
-	Log, Output io.Writer
-}
-
-// Run plays them and returns the result line.
-func (p SoakProof) Run() (line string, err error) {
-	broken := 0
-	for seed := p.From; seed < p.From+p.Seeds; seed++ {
-		line, err := Soak{Seed: seed, Program: p.Program, Log: p.Log}.Run()
-		fmt.Fprintln(p.Output, line)
-		if err != nil {
-			broken++
-			fmt.Fprintf(p.Output, "seed %d is broken: %v\n", seed, err)
-		}
-	}
-	if broken > 0 {
-		return fmt.Sprintf("proof noisy-clients: FAILS; broken=%d of seeds=%d from=%d", broken, p.Seeds, p.From), errBrokenSoak
-	}
-	return fmt.Sprintf("proof noisy-clients: holds; seeds=%d from=%d", p.Seeds, p.From), nil
-}
-
-// errBrokenSoak reports that a rule was broken in a soak.
-var errBrokenSoak = errors.New("a rule was broken")
-
 // String describes the plan.
 func (p soakPlan) String() string {
 	return fmt.Sprintf("%d MB, loads %q, %d clients", p.memoryMB, p.loads, p.clients)
 }
 
-// Run plays it. It returns a line about the play, and an error that joins all that broke a rule.
-func (s Soak) Run() (line string, err error) {
-	random := rand.New(rand.NewPCG(s.Seed, 5))
+// Play plays the soak of a seed, with all else as in s. It returns a line about it, and an error that joins all that broke a
+// rule.
+func (s Soak) Play(seed uint64) (line string, err error) {
+	s.seed = seed
+	random := rand.New(rand.NewPCG(s.seed, 5))
 	plan := newSoakPlan(random)
-	c, router, err := startRouter(busyNodes(s.Seed, plan.memoryMB, s.Program), s.Log)
+	c, router, err := startRouter(busyNodes(s.seed, plan.memoryMB, s.Program), s.Log)
 	if err != nil {
 		return "", err
 	}
@@ -96,7 +71,7 @@
 	clients := &ordinaryGroup{address: router.Address, longestWait: soakWait, stop: stop}
 	seen := make(chan Seen, 1)
 	go func() { seen <- clients.run(plan.clients) }()
-	endLast, err := playLoads(plan.loads, router, s.Seed, random)
+	endLast, err := playLoads(plan.loads, router, s.seed, random)
 	if err != nil {
 		close(stop)
 		return "", err
@@ -105,7 +80,7 @@
 	close(stop)
 	endLast()
 	result := Result{During: <-seen, PeakMemory: peak, Violations: c.Database.Violations()}
-	line = fmt.Sprintf("seed %d: %s: %s", s.Seed, plan, result)
+	line = fmt.Sprintf("%s: %s", plan, result)
 	return line, errors.Join(memoryErr, checkSoak(plan, result))
 }
 
