--- a/internal/routing/doc.go
+++ b/internal/routing/doc.go
@@ -27,6 +27,9 @@
 //	adjustAdmission        admission.go            updates the admission probabilities
 //	handleAttemptFailure   retry.go                starts another attempt or gives the final answer
 //
+// An attempt may wait for a connection. Before it is sent, the caller asks whether it is still permitted (MayStart in
+// start_check.go); if not, it ends as Withdrawn.
+//
 // A request has exactly one final answer: a node's answer, Actions.RejectWithRetry (sending it again is harmless),
 // Actions.Fail (it may have been executed, and a repeat could be harmful), or none because its client disconnected.
 //
